Turns in time for cold nodes; a full queue is no silence; nodes of a stored list are not doubted

Cause: with 50-270 hosts the even part of what a cold node bears is under one request, so a host could never send to a node that it took for cold. It took nodes for cold far too often: two 'full' answers and 2 s without a sample, which is usual where a host sends a request every few seconds, and every node after a restart. A turn guards any cold node behind many hosts; it may hurt where few of the hosts use the node, since a turn counts all of them. Not doubting a stored list may hurt when hosts restart while a node is cold and unlisted: they then send what they usually do, uninformed.

--- a/scheduler.go
+++ b/scheduler.go
@@ -39,9 +39,6 @@
 	busyPart             = 0.5          // ours: an interval is busy when the cap bound for this part
 	feasiblePart         = 0.8          // ours: part of the node's mean latency an answer is sure to take
 	limitFull            = 0.9          // ours: above this part of its store a limit is not scarce
-	hitGain              = 2.0          // ours: how much cheaper the data just sent for is at the node
-	unsureTimes          = 8.0          // ours: what a node of a list not yet renewed may get, in cold parts
-	unsureSpan           = 3 * second   // ours: for so long after the start, where no list comes
 	retryFirst           = second / 20  // ours: first pause for a node full or out of reach; it doubles
 	retryMost            = second       // ours: longest such pause
 	listFirst            = second / 2   // ours: first wait before asking for the list again; it doubles
@@ -126,7 +123,7 @@
 		return
 	}
 	if l.Kind != ListStored {
-		s.sure, s.wait = true, listFirst
+		s.wait = listFirst
 	}
 	if l.Kind != ListChanges {
 		for _, sh := range s.shards {
@@ -152,7 +149,7 @@
 		s.nodes[entry.ID] = n
 	}
 	if entry.Started > n.Started {
-		n.blocked, n.fails = 0, 0
+		n.blocked, n.fails, n.fullness = 0, 0, 0
 	}
 	n.Node = entry
 	sh := s.shard(entry.Shard)
@@ -317,19 +314,15 @@
 		}
 	}
 	sh.clock = max(sh.clock, least) // the fair share has come so far
-	if best == nil || bestRank.level == levelLate && !s.isSpare(n) {
+	// What is in vain, maybe, goes only to a node where nothing of this host's
+	// is out, and whose cap no queue of other hosts has made fall.
+	if best == nil || bestRank.level == levelLate && (n.out > 0 || n.cap < capFirst*s.set.MeanUnits) {
 		return false
 	}
 	s.send(best, n, bestRank.level)
 	return true
 }
 
-// isSpare tells whether n has room for work that is in vain, maybe: nothing of
-// this host's is out there, and no queue of other hosts has made its cap fall.
-func (s *Scheduler) isSpare(n *node) bool {
-	return n.out == 0 && n.cap >= capFirst*s.set.MeanUnits
-}
-
 // candidate returns the first request of a lane that may be sent now.
 func (s *Scheduler) candidate(l *lane, n *node) *request {
 	for len(l.fresh) > 0 {
@@ -395,9 +388,6 @@
 	v, f := r.vol, r.lane.flow
 	s.fill(v)
 	k := rank{levelSpare, r.class.Worth * v.plan.WorthFactor / s.costOf(r.Class), f.tag, r.aimAt}
-	if n.holds(r) {
-		k.value *= hitGain
-	}
 	switch {
 	case s.isLate(r, n):
 		k.level = levelLate
@@ -439,14 +429,29 @@
 	case !s.insideLimit(r, n): // rule 7
 		return hold
 	}
-	// Rule 4: this host's even part of what a cold node bears.
-	allowed, cold := s.coldPart(n)
-	if cold && n.sent.since(s.now-s.set.Rules.ColdSpan)+r.Units > allowed {
+	// Rule 4: this host's even part of what a cold node bears, or its turn.
+	if allowed, cold := s.coldPart(n); cold && !s.bears(n, r, allowed) {
 		return hold
 	}
 	return pass
 }
 
+// bears tells whether r fits into this host's part of what a cold node bears.
+// A part under one request is a turn in time: after each send the host waits
+// for as long as its part needs to grow back. First turns are scattered, so
+// that the turns of all hosts add up to what the node bears at any time.
+func (s *Scheduler) bears(n *node, r *request, allowed float64) bool {
+	span := s.set.Rules.ColdSpan
+	if r.Units <= allowed {
+		return n.sent.since(s.now-span)+r.Units <= allowed
+	}
+	if since := max(n.Started, n.revived); n.turnOf != since {
+		n.turnOf = since
+		n.turn = since + Micros(s.dice.random()*s.set.MostUnits/allowed*float64(span))
+	}
+	return s.now >= n.turn
+}
+
 // mayRepeat tells whether r, which may have run, may be sent to n (rule 2).
 func mayRepeat(r *request, n *node, now Micros) bool {
 	switch r.class.Repeat {
@@ -511,9 +516,6 @@
 		from := max(rules.ColdFrom, 0.01)
 		return part * (from + (1-from)*age) / from, true
 	}
-	if !s.sure && s.now < s.born+unsureSpan {
-		return part * unsureTimes, true
-	}
 	return 0, false
 }
 
@@ -534,14 +536,13 @@
 		f.tag += r.Units / v.plan.Weight
 	}
 	a := &attempt{request: r, node: n, sent: s.now, solo: n.out == 0, units: r.Units}
-	if n.holds(r) {
-		a.units, a.solo = r.Units/hitGain, false
-	}
-	n.keyed, n.lastKey = r.HasKey, r.Key
 	r.attempts = append(r.attempts, a)
 	r.out++
 	n.outs = append(n.outs, a)
 	n.out += a.units
+	if allowed, cold := s.coldPart(n); cold {
+		n.turn = s.now + Micros(r.Units/allowed*float64(s.set.Rules.ColdSpan))
+	}
 	n.sent.add(s.now, r.Units)
 	n.sent.since(s.now - max(s.set.Rules.ColdSpan, second))
 	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID})
@@ -601,10 +602,13 @@
 		if n.fails > 1 && s.now-n.answered >= silentSpan {
 			n.revived = s.now
 		}
-		n.fails, n.blocked, n.answered = 0, 0, s.now
+		n.fails, n.fullness, n.blocked, n.answered = 0, 0, 0, s.now
 	case Full, Unreachable:
-		n.fails++
-		pause := min(retryFirst<<min(n.fails, 10), retryMost)
+		n.fullness++
+		if o.Status == Unreachable {
+			n.fails++
+		}
+		pause := min(retryFirst<<min(n.fullness, 10), retryMost)
 		n.blocked = s.now + pause/2 + Micros(s.dice.random()*float64(pause)/2)
 	case Reset, TimedOut:
 		n.fails++
@@ -785,9 +789,6 @@
 // changed tells whether the list of cuts must be built anew.
 func (s *Scheduler) changed(v *volume) bool {
 	t := &v.trial
-	if v.over > t.over {
-		return true
-	}
 	for i, c := range t.list {
 		if c.quad == lucky && !c.wasLucky || c.measured > 2*t.rates[i] || c.measured < t.rates[i]/2 {
 			return true
--- a/state.go
+++ b/state.go
@@ -118,11 +118,12 @@
 	looks    int
 	latency  float64 // running mean, microseconds
 	fails    int
+	fullness int    // times in a row that it was full or out of reach
+	turn     Micros // while it is cold: nothing before this time
+	turnOf   Micros // the start that turn counts from
 	blocked  Micros // nothing before this time
 	revived  Micros // it answered again after failures: it may be cold
 	sent     window
-	keyed    bool // lastKey is set
-	lastKey  uint64
 }
 
 // volume is CHAMELEON's state of a volume.
@@ -190,7 +191,6 @@
 	taken    window
 	resent   window
 	pulsing  bool
-	sure     bool   // a list has come since the start
 	wait     Micros // before the list is asked for again
 	dice     generator
 }
@@ -282,12 +282,6 @@
 	bar          // never again
 )
 
-// holds tells whether r is the first try for the data that this host sent for
-// last: the node has it at hand, which makes r cheaper if it follows at once.
-func (n *node) holds(r *request) bool {
-	return r.HasKey && n.keyed && r.Key == n.lastKey && len(r.attempts) == 0
-}
-
 // aim returns the span within which r earns its full worth.
 func (s *Scheduler) aim(r *request) Micros {
 	stretch := r.class.AimStretch * s.cost[r.Class] * r.Units
