Worth waits for the node's queue: levels bounded by what answers take

Change: each node has an expected latency (answers, time-outs, full queues, the oldest attempt out; it drains by this host's part of the fleet). Past 0.1 of the tightest aim over the quickest answers nothing is sent past the share, past 0.3 nothing past the reserve; bounds scattered by request. What cannot be answered in time is answered at once with the longest advice to wait. Limits open with one largest request at a host's start. May hurt where a node's answers differ much by size, and where one host alone uses a node that others do not.

--- a/scheduler.go
+++ b/scheduler.go
@@ -8,8 +8,8 @@
 //     the token rates of the others on its nodes in constant steps, lucky
 //     first; where no volume of a node fails, steps are given back.
 //   - A request is accepted, waits in its node's queue by its worth (inside
-//     the volume's reserve, inside its share by weight, out of tokens, past
-//     its aim), and is sent while a learned cap on the units out allows it.
+//     the volume's reserve, inside its share by weight, past it or out of
+//     tokens) while its aim can be met, and is sent while a learned cap on the units out allows it.
 //   - gate guards every send (rules 2 to 7), finish every answer (rule 1).
 
 import (
@@ -29,7 +29,6 @@
 	gainPart             = 0.95         // ours: latency must fall below this part for cuts to go on
 	restIntervals        = 5            // ours: intervals without cuts after some that brought nothing
 	capAimPart           = 0.3          // ours: part of the tightest aim that units out may take
-	silentSpan           = 2 * second   // ours: a node that fails for so long may come back cold
 	lostTimes            = 4.0          // ours: mean latencies after which an answer may be lost
 	capLeast             = 0.25         // ours: least cap, in mean requests
 	capFirst             = 2.0          // ours: cap of a node not known yet, in mean requests
@@ -38,9 +37,13 @@
 	learnPart            = 0.3          // ours: weight of a new sample in running means
 	busyPart             = 0.5          // ours: an interval is busy when the cap bound for this part
 	feasiblePart         = 0.8          // ours: part of the node's mean latency an answer is sure to take
+	sharePart            = 0.3          // ours: queue, in tightest aims, above which no share is sent
+	sparePart            = 0.1          // ours: and no spare
+	drainLeast           = 0.03         // ours: by how much a queue not heard of drains in its time, at least
+	lossyPart            = 0.02         // ours: weight of an answer in the share of lost ones
+	lossyFrom            = 0.02         // ours: share of lost answers from which silence is not trusted
+	quickPart            = 0.02         // ours: by how much a node's quickest answer follows the others
 	limitFull            = 0.9          // ours: above this part of its store a limit is not scarce
-	retryFirst           = second / 20  // ours: first pause for a node full or out of reach; it doubles
-	retryMost            = second       // ours: longest such pause
 	listFirst            = second / 2   // ours: first wait before asking for the list again; it doubles
 	volumeAge            = 60 * second  // ours: volumes idle for so long are forgotten
 	scanMost             = 4            // ours: requests of a lane looked at before the next lane
@@ -148,8 +151,8 @@
 		n = &node{cap: capFirst * s.set.MeanUnits}
 		s.nodes[entry.ID] = n
 	}
-	if entry.Started > n.Started {
-		n.blocked, n.fails, n.fullness = 0, 0, 0
+	if entry.Started > n.Started { // what was seen of it no longer holds
+		n.latency, n.quick = 0, 0
 	}
 	n.Node = entry
 	sh := s.shard(entry.Shard)
@@ -169,7 +172,7 @@
 		return
 	}
 	s.taken.add(s.now, 1)
-	r := &request{Request: q, taken: s.now, deadline: s.now + q.Left}
+	r := &request{Request: q, taken: s.now, deadline: s.now + q.Left, patience: 0.5 + s.dice.random()}
 	s.requests[q.ID] = r
 	if !s.set.known(q) || q.Left <= 0 {
 		s.finish(r)
@@ -204,7 +207,7 @@
 	v := s.volumes[q.ID]
 	if v == nil {
 		v = &volume{id: q.ID, plan: &s.set.Plans[q.Plan], hosts: float64(max(1, q.Hosts)), quad: meet}
-		v.filled, v.reserve = s.born, s.set.MostUnits
+		v.filled, v.store, v.reserve = s.born, s.set.MostUnits, s.set.MostUnits
 		s.volumes[q.ID] = v
 		s.order = append(s.order, v)
 	}
@@ -238,11 +241,11 @@
 	}
 	l := s.laneOf(r, sh)
 	r.lane, r.queued = l, true
-	i := len(l.fresh)
-	for i > 0 && l.fresh[i-1].aimAt > r.aimAt {
+	i := len(l.queue)
+	for i > 0 && l.queue[i-1].aimAt > r.aimAt {
 		i--
 	}
-	l.fresh = slices.Insert(l.fresh, i, r)
+	l.queue = slices.Insert(l.queue, i, r)
 	sh.wait += r.Units
 	sh.dirty = true
 }
@@ -254,7 +257,7 @@
 	var least float64
 	for _, sh := range s.shards {
 		n := sh.node
-		if n == nil || n.State != Ready || n.blocked > s.now {
+		if n == nil || n.State != Ready {
 			continue
 		}
 		load := (sh.wait + n.out + r.Units) / max(n.cap, 1) * max(n.latency, s.oldest(n), 1)
@@ -290,11 +293,11 @@
 // sendNext sends the best waiting request of a shard; false: none may go.
 func (s *Scheduler) sendNext(sh *shard) bool {
 	n := sh.node
-	if sh.wait <= 0 || n == nil || n.State != Ready || n.blocked > s.now {
+	if sh.wait <= 0 || n == nil || n.State != Ready {
 		return false
 	}
 	n.looks++
-	if n.rest > s.now || n.out > 0 && n.out+s.set.MeanUnits > n.cap {
+	if n.out > 0 && n.out+s.set.MeanUnits > n.cap {
 		n.bound++
 		return false
 	}
@@ -309,55 +312,59 @@
 		if l.flow.tag = max(l.flow.tag, sh.clock); least < 0 || l.flow.tag < least {
 			least = l.flow.tag
 		}
-		if k := s.rank(r, n); best == nil || k.before(bestRank) {
+		if k := s.rank(r, n); s.admits(n, r, k.level) && (best == nil || k.before(bestRank)) {
 			best, bestRank = r, k
 		}
 	}
 	sh.clock = max(sh.clock, least) // the fair share has come so far
-	// What is in vain, maybe, goes only to a node where nothing of this host's
-	// is out, and whose cap no queue of other hosts has made fall.
-	if best == nil || bestRank.level == levelLate && (n.out > 0 || n.cap < capFirst*s.set.MeanUnits) {
+	if best == nil {
 		return false
 	}
 	s.send(best, n, bestRank.level)
 	return true
 }
 
-// candidate returns the first request of a lane that may be sent now.
-func (s *Scheduler) candidate(l *lane, n *node) *request {
-	for len(l.fresh) > 0 {
-		r := l.fresh[0]
-		if !s.isLate(r, n) {
-			break
-		}
-		if len(r.attempts) > 0 { // past its aim: not worth a part of the resend budget
-			s.finish(r)
-			continue
-		}
-		l.fresh = l.fresh[1:]
-		l.late = append(l.late, r)
-	}
-	if r := s.firstOpen(&l.fresh, n); r != nil {
-		return r
+// admits tells whether n is quick enough for a request of a level. Many hosts
+// fill one node, each with too little for a cap of its own to tell: what is
+// worth less waits first when answers get slow. The bounds are scattered by
+// request, so that hosts do not stop and start in step.
+func (s *Scheduler) admits(n *node, r *request, level int) bool {
+	queue := (s.expected(n) - n.quick) / float64(s.tightest) / r.patience
+	switch level {
+	case levelShare:
+		return queue <= sharePart
+	case levelSpare:
+		return queue <= sparePart
 	}
-	return s.firstOpen(&l.late, n)
+	return true
 }
 
-// isLate tells whether r can hardly be answered within its aim any more.
-func (s *Scheduler) isLate(r *request, n *node) bool {
-	return r.aimAt <= s.now || float64(r.aimAt-s.now) < feasiblePart*n.latency
+// expected returns how long an answer of n should take now. What was seen is
+// taken to drain with time: a host that holds back gets no news.
+func (s *Scheduler) expected(n *node) float64 {
+	drained := n.latency - s.drain()*float64(s.now-n.sampled)
+	if s.lossy < lossyFrom { // where answers get lost, a missing one tells nothing
+		drained = max(drained, s.oldest(n))
+	}
+	return max(drained, n.quick)
 }
 
-// firstOpen returns the first of a queue that gate passes, and answers those
-// that it bars; that changes the queue, so the look starts over.
-func (s *Scheduler) firstOpen(queue *[]*request, n *node) *request {
-	for i := 0; i < min(len(*queue), scanMost); i++ {
-		switch r := (*queue)[i]; s.gate(r, n) {
-		case pass:
-			return r
-		case bar:
+// candidate returns the first request of a lane that may be sent now. Those
+// that gate bars or that not even n's quickest answer could serve in time are
+// answered: what is late takes as much of a node and earns a fraction.
+func (s *Scheduler) candidate(l *lane, n *node) *request {
+	for i, looked := 0, 0; i < len(l.queue) && looked < scanMost; i++ {
+		r := l.queue[i]
+		left, verdict := float64(r.aimAt-s.now), s.gate(r, n)
+		switch {
+		case verdict == bar || left <= n.quick:
 			s.finish(r)
 			i = -1
+		case left < feasiblePart*s.expected(n):
+		case verdict == pass:
+			return r
+		default:
+			looked++
 		}
 	}
 	return nil
@@ -368,7 +375,6 @@
 	levelReserve = iota // inside the volume's reserve
 	levelShare          // inside its share
 	levelSpare          // past its share, or out of tokens
-	levelLate           // past its aim
 )
 
 // rank is the order in which waiting requests go: by the worth that a
@@ -389,9 +395,6 @@
 	s.fill(v)
 	k := rank{levelSpare, r.class.Worth * v.plan.WorthFactor / s.costOf(r.Class), f.tag, r.aimAt}
 	switch {
-	case s.isLate(r, n):
-		k.level = levelLate
-		k.value *= r.class.LateWorth * s.set.SpareWorth
 	case v.reserve > 0:
 		k.level = levelReserve
 	case (v.rate == 0 || v.tokens >= r.Units) && f.tag <= f.shard.clock+s.set.MostUnits/v.plan.Weight:
@@ -445,9 +448,9 @@
 	if r.Units <= allowed {
 		return n.sent.since(s.now-span)+r.Units <= allowed
 	}
-	if since := max(n.Started, n.revived); n.turnOf != since {
-		n.turnOf = since
-		n.turn = since + Micros(s.dice.random()*s.set.MostUnits/allowed*float64(span))
+	if n.turnOf != n.Started {
+		n.turnOf = n.Started
+		n.turn = n.Started + Micros(s.dice.random()*s.set.MostUnits/allowed*float64(span))
 	}
 	return s.now >= n.turn
 }
@@ -478,14 +481,14 @@
 
 // insideLimit tells whether this host's even part of the volume's limit
 // holds r (rule 7). The slack is left alone. Units of a scarce limit are kept
-// for the waiting class of the greatest worth; late answers draw none.
+// for the waiting class of the greatest worth.
 func (s *Scheduler) insideLimit(r *request, n *node) bool {
 	v := r.vol
 	if r.drawn || v.plan.LimitRate <= 0 {
 		return true
 	}
 	s.fill(v)
-	if v.store < r.Units || s.isLate(r, n) {
+	if v.store < r.Units {
 		return false
 	}
 	if v.store >= limitFull*v.plan.LimitBurst/v.hosts {
@@ -493,7 +496,7 @@
 	}
 	for _, f := range v.flows {
 		for _, l := range f.lanes {
-			if len(l.fresh) > 0 && s.set.Classes[l.class].Worth > r.class.Worth {
+			if len(l.queue) > 0 && s.set.Classes[l.class].Worth > r.class.Worth {
 				return false
 			}
 		}
@@ -502,17 +505,15 @@
 }
 
 // coldPart returns the units that this host may send to a cold node within
-// the rule's span; false for a warm one. A node that answers again after
-// failures may have started without the list's knowing.
+// the rule's span; false for a warm one.
 func (s *Scheduler) coldPart(n *node) (float64, bool) {
 	rules := &s.set.Rules
 	if rules.ColdUnits <= 0 || rules.WarmWithin <= 0 {
 		return 0, false
 	}
 	part := rules.ColdUnits / float64(s.set.Hosts)
-	since := max(n.Started, n.revived)
-	if since > 0 && s.now-since < rules.WarmWithin {
-		age := max(0, float64(s.now-since-rules.ColdSpan)/float64(rules.WarmWithin))
+	if n.Started > 0 && s.now-n.Started < rules.WarmWithin {
+		age := max(0, float64(s.now-n.Started-rules.ColdSpan)/float64(rules.WarmWithin))
 		from := max(rules.ColdFrom, 0.01)
 		return part * (from + (1-from)*age) / from, true
 	}
@@ -592,29 +593,24 @@
 	switch o.Status {
 	case OK:
 		n.heard = max(n.heard, a.sent)
+		s.lossy -= lossyPart * s.lossy
 		n.spent += float64(o.Latency)
 		n.answers++
 		v.units += r.Units
-		n.latency = blend(n.latency, float64(o.Latency))
+		s.sample(n, float64(o.Latency))
+		n.quick = min(cmp.Or(n.quick, n.latency), float64(o.Latency))
+		n.quick += quickPart * (float64(o.Latency) - n.quick)
 		if a.solo {
 			s.cost[r.Class] = blend(s.cost[r.Class], float64(o.Latency)/max(r.Units, 1))
 		}
-		if n.fails > 1 && s.now-n.answered >= silentSpan {
-			n.revived = s.now
-		}
-		n.fails, n.fullness, n.blocked, n.answered = 0, 0, 0, s.now
 	case Full, Unreachable:
-		n.fullness++
-		if o.Status == Unreachable {
-			n.fails++
+		s.sample(n, max(n.latency, float64(s.tightest)))
+	case Reset, TimedOut, Cancelled:
+		if a.sent > n.heard { // not overtaken: the node is slow, the answer isn't lost
+			s.sample(n, max(n.latency, float64(o.Latency)))
+		} else {
+			s.lossy += lossyPart
 		}
-		pause := min(retryFirst<<min(n.fullness, 10), retryMost)
-		n.blocked = s.now + pause/2 + Micros(s.dice.random()*float64(pause)/2)
-	case Reset, TimedOut:
-		n.fails++
-	}
-	if share := n.cap / s.set.MeanUnits; share < 1 { // a cap under one request is a part of the time
-		n.rest = s.now + Micros(n.latency*(1/share-1))
 	}
 	if o.FleetUse > 0 {
 		v.told = (o.FleetUse - 1) / 100 * v.plan.Rate
@@ -627,30 +623,34 @@
 	}
 }
 
-// dropLost stops counting attempts without an answer towards n's cap: a lost
-// answer would hold its room until the client gives up. One that was overtaken
-// by later ones is called off, which frees its request for another attempt;
-// of a silent node, only one attempt in each such wait is let go, as a trial.
+// dropLost stops counting attempts towards n's cap that have long had no
+// answer, where answers get lost: each would hold its room until the client
+// gives up. It calls them off, which frees safe ones for another attempt.
 func (s *Scheduler) dropLost(n *node) {
-	if n == nil {
+	if n == nil || s.lossy < lossyFrom {
 		return
 	}
-	wait := Micros(lostTimes * n.latency)
 	for _, a := range n.outs {
-		overtaken := n.heard > a.sent+wait/2
-		if a.done || a.lost || s.now-a.sent <= wait || !overtaken && s.now-n.trial <= wait {
+		if a.done || a.lost || float64(s.now-a.sent) <= lostTimes*n.latency {
 			continue
 		}
 		a.lost = true
 		n.out = max(0, n.out-a.units)
-		if !overtaken {
-			n.trial = s.now
-		} else if r := a.request; s.set.Cancel && r.class.Repeat == Safe && !r.over && !r.stream {
+		if r := a.request; n.heard > a.sent && s.set.Cancel && r.class.Repeat == Safe && !r.over && !r.stream {
 			s.act(Action{Kind: Cancel, Request: r.ID, Attempt: len(r.attempts) - 1})
 		}
 	}
 }
 
+// drain returns by how much a queue drains in its time while this host, one of
+// all that fill it, holds back.
+func (s *Scheduler) drain() float64 { return max(drainLeast, 1/float64(s.set.Hosts)) }
+
+// sample takes in how long an answer of n took.
+func (s *Scheduler) sample(n *node, latency float64) {
+	n.latency, n.sampled = blend(max(n.latency-s.drain()*float64(s.now-n.sampled), n.quick), latency), s.now
+}
+
 func blend(mean, sample float64) float64 {
 	if mean == 0 {
 		return sample
@@ -664,12 +664,12 @@
 	if r.over {
 		return
 	}
-	kind := Fail
+	kind, wait := Fail, Micros(0)
 	if r.class == nil || r.ran == nil && r.out == 0 || r.class.Repeat == Safe ||
 		r.class.Repeat == Keyed && r.class.Scope == ScopeAll {
-		kind = Refuse
+		kind, wait = Refuse, s.set.MaxWait // past its aim, its next try is worth little
 	}
-	s.act(Action{Kind: kind, Request: r.ID})
+	s.act(Action{Kind: kind, Request: r.ID, Delay: wait})
 	s.settle(r)
 }
 
--- a/state.go
+++ b/state.go
@@ -58,6 +58,7 @@
 	lane     *lane
 	taken    Micros
 	aimAt    Micros
+	patience float64 // by which the bounds of its level are scattered
 	deadline Micros
 	attempts []*attempt
 	out      int
@@ -79,8 +80,7 @@
 type lane struct {
 	flow  *flow
 	class int
-	fresh []*request // by their aim
-	late  []*request // past it
+	queue []*request // by their aim
 }
 
 // flow is a volume's standing at a shard.
@@ -105,25 +105,20 @@
 // node is what the host knows of a node.
 type node struct {
 	Node
-	outs     []*attempt
-	out      float64 // units out
-	cap      float64
-	answered Micros  // time of the last answer
-	rest     Micros  // under a cap of less than one request: nothing before this time
-	trial    Micros  // when an attempt at a silent node was last let go
-	heard    Micros  // when the latest attempt that was answered had been sent
-	spent    float64 // latencies in this interval
-	answers  float64
-	bound    int // looks at which the cap held a request back
-	looks    int
-	latency  float64 // running mean, microseconds
-	fails    int
-	fullness int    // times in a row that it was full or out of reach
-	turn     Micros // while it is cold: nothing before this time
-	turnOf   Micros // the start that turn counts from
-	blocked  Micros // nothing before this time
-	revived  Micros // it answered again after failures: it may be cold
-	sent     window
+	outs    []*attempt
+	out     float64 // units out
+	cap     float64
+	heard   Micros  // when the latest attempt that was answered had been sent
+	spent   float64 // latencies in this interval
+	answers float64
+	bound   int // looks at which the cap held a request back
+	looks   int
+	latency float64 // running mean, microseconds
+	quick   float64 // its quickest answers, microseconds
+	sampled Micros  // when latency was last brought up to date
+	turn    Micros  // while it is cold: nothing before this time
+	turnOf  Micros  // the start that turn counts from
+	sent    window
 }
 
 // volume is CHAMELEON's state of a volume.
@@ -191,7 +186,8 @@
 	taken    window
 	resent   window
 	pulsing  bool
-	wait     Micros // before the list is asked for again
+	lossy    float64 // share of attempts whose answers seem to be lost
+	wait     Micros  // before the list is asked for again
 	dice     generator
 }
 
@@ -216,15 +212,18 @@
 	return s.shards[index]
 }
 
-// oldest returns for how long the oldest attempt at n has had no answer.
+// oldest returns for how long the oldest attempt at n has had no answer, those
+// aside that were overtaken: their answers may be lost.
 func (s *Scheduler) oldest(n *node) float64 {
 	for len(n.outs) > 0 && n.outs[0].done {
 		n.outs = n.outs[1:]
 	}
-	if len(n.outs) == 0 {
-		return 0
+	for _, a := range n.outs {
+		if !a.done && a.sent > n.heard {
+			return float64(s.now - a.sent)
+		}
 	}
-	return float64(s.now - n.outs[0].sent)
+	return 0
 }
 
 // laneOf returns the wait queue of r's class and volume at a shard.
@@ -255,11 +254,8 @@
 	}
 	r.queued = false
 	r.lane.flow.shard.wait = max(0, r.lane.flow.shard.wait-r.Units)
-	for _, q := range []*[]*request{&r.lane.fresh, &r.lane.late} {
-		if i := slices.Index(*q, r); i >= 0 {
-			*q = slices.Delete(*q, i, i+1)
-			return
-		}
+	if i := slices.Index(r.lane.queue, r); i >= 0 {
+		r.lane.queue = slices.Delete(r.lane.queue, i, i+1)
 	}
 }
 
