--- a/scheduler.go
+++ b/scheduler.go
@@ -636,7 +636,8 @@
 		}
 		a.lost = true
 		n.out = max(0, n.out-a.units)
-		if r := a.request; n.heard > a.sent && s.set.Cancel && r.class.Repeat == Safe && !r.over && !r.stream {
+		r, overtaken := a.request, n.heard > a.sent
+		if s.set.Cancel && overtaken && r.class.Repeat == Safe && !r.over && !r.stream {
 			s.act(Action{Kind: Cancel, Request: r.ID, Attempt: len(r.attempts) - 1})
 		}
 	}
@@ -648,7 +649,8 @@
 
 // sample takes in how long an answer of n took.
 func (s *Scheduler) sample(n *node, latency float64) {
-	n.latency, n.sampled = blend(max(n.latency-s.drain()*float64(s.now-n.sampled), n.quick), latency), s.now
+	drained := n.latency - s.drain()*float64(s.now-n.sampled)
+	n.latency, n.sampled = blend(max(drained, n.quick), latency), s.now
 }
 
 func blend(mean, sample float64) float64 {
