A cold node gets a part of its usual service; tags and worth by service time go

Told from a jam by short attempts and refusals of the released nodes' volumes only. Cause: an even part of what any cold node bears, over all hosts, though few hosts use a node and it bears more. Change: a host keeps what each shard usually serves it; all hosts' such figures add up to the node's capacity at most, so half of (multiple x part of its power) of it keeps rule 4 too. May hurt where a successor is much slower than the node before it, or the load moved to a shard just before.

--- a/scheduler.go
+++ b/scheduler.go
@@ -8,8 +8,9 @@
 //     the token rates of the others on its nodes in constant steps, lucky
 //     first; where no volume of a node fails, steps are given back.
 //   - A request is accepted, waits in its node's queue by its worth (inside
-//     the volume's reserve, inside its share by weight, past it or out of
-//     tokens) while its aim can be met, and is sent while a learned cap on the units out allows it.
+//     the volume's reserve, past it with tokens, or out of tokens) while its
+//     aim can be met, and is sent while the node's cap on the units out and
+//     its expected latency allow it.
 //   - gate guards every send (rules 2 to 7), finish every answer (rule 1).
 
 import (
@@ -42,6 +43,8 @@
 	drainLeast           = 0.03         // ours: by how much a queue not heard of drains in its time, at least
 	lossyPart            = 0.02         // ours: weight of an answer in the share of lost ones
 	lossyFrom            = 0.02         // ours: share of lost answers from which silence is not trusted
+	usualPart            = 0.1          // ours: weight of an interval in what a shard usually serves
+	coldShare            = 0.5          // ours: part of a cold node's bounds used: it may be slower
 	quickPart            = 0.02         // ours: by how much a node's quickest answer follows the others
 	limitFull            = 0.9          // ours: above this part of its store a limit is not scarce
 	listFirst            = second / 2   // ours: first wait before asking for the list again; it doubles
@@ -303,24 +306,19 @@
 	}
 	var best *request
 	var bestRank rank
-	least := -1.0
 	for _, l := range sh.lanes {
 		r := s.candidate(l, n)
 		if r == nil {
 			continue
 		}
-		if l.flow.tag = max(l.flow.tag, sh.clock); least < 0 || l.flow.tag < least {
-			least = l.flow.tag
-		}
 		if k := s.rank(r, n); s.admits(n, r, k.level) && (best == nil || k.before(bestRank)) {
 			best, bestRank = r, k
 		}
 	}
-	sh.clock = max(sh.clock, least) // the fair share has come so far
 	if best == nil {
 		return false
 	}
-	s.send(best, n, bestRank.level)
+	s.send(best, n)
 	return true
 }
 
@@ -373,31 +371,30 @@
 // The levels of worth, best first.
 const (
 	levelReserve = iota // inside the volume's reserve
-	levelShare          // inside its share
-	levelSpare          // past its share, or out of tokens
+	levelShare          // past it, with tokens
+	levelSpare          // out of tokens
 )
 
-// rank is the order in which waiting requests go: by the worth that a
-// microsecond of the node's time should earn, then by fair share, then by aim.
+// rank is the order in which waiting requests go: by the worth of their units,
+// then by aim.
 type rank struct {
 	level int
 	value float64
-	tag   float64
 	aimAt Micros
 }
 
 func (k rank) before(o rank) bool {
-	return cmp.Or(cmp.Compare(o.value, k.value), cmp.Compare(k.tag, o.tag), cmp.Compare(k.aimAt, o.aimAt)) < 0
+	return cmp.Or(cmp.Compare(o.value, k.value), cmp.Compare(k.aimAt, o.aimAt)) < 0
 }
 
 func (s *Scheduler) rank(r *request, n *node) rank {
-	v, f := r.vol, r.lane.flow
+	v := r.vol
 	s.fill(v)
-	k := rank{levelSpare, r.class.Worth * v.plan.WorthFactor / s.costOf(r.Class), f.tag, r.aimAt}
+	k := rank{levelSpare, r.class.Worth * v.plan.WorthFactor, r.aimAt}
 	switch {
 	case v.reserve > 0:
 		k.level = levelReserve
-	case (v.rate == 0 || v.tokens >= r.Units) && f.tag <= f.shard.clock+s.set.MostUnits/v.plan.Weight:
+	case v.rate == 0 || v.tokens >= r.Units:
 		k.level = levelShare
 		k.value *= s.set.ShareWorth
 	default:
@@ -406,12 +403,6 @@
 	return k
 }
 
-// costOf returns the service time of a unit of a class; one not seen yet
-// counts as the dearest.
-func (s *Scheduler) costOf(class int) float64 {
-	return max(1, cmp.Or(s.cost[class], slices.Max(s.cost)))
-}
-
 // gate guards every send; no attempt starts without its pass.
 func (s *Scheduler) gate(r *request, n *node) verdict {
 	switch {
@@ -450,7 +441,7 @@
 	}
 	if n.turnOf != n.Started {
 		n.turnOf = n.Started
-		n.turn = n.Started + Micros(s.dice.random()*s.set.MostUnits/allowed*float64(span))
+		n.turn = n.Started + Micros(s.dice.random()*s.set.MeanUnits/allowed*float64(span))
 	}
 	return s.now >= n.turn
 }
@@ -505,24 +496,27 @@
 }
 
 // coldPart returns the units that this host may send to a cold node within
-// the rule's span; false for a warm one.
+// the rule's span; false for a warm one. It is an even part of what any node
+// bears, or a part of what this host was usually served there: what all hosts
+// were served together is within the node's capacity.
 func (s *Scheduler) coldPart(n *node) (float64, bool) {
 	rules := &s.set.Rules
 	if rules.ColdUnits <= 0 || rules.WarmWithin <= 0 {
 		return 0, false
 	}
-	part := rules.ColdUnits / float64(s.set.Hosts)
+	from := max(rules.ColdFrom, 0.01)
+	usual := s.shard(n.Shard).usual * float64(rules.ColdSpan) / float64(second)
+	part := max(rules.ColdUnits/float64(s.set.Hosts), coldShare*rules.ColdMultiple*from*usual)
 	if n.Started > 0 && s.now-n.Started < rules.WarmWithin {
 		age := max(0, float64(s.now-n.Started-rules.ColdSpan)/float64(rules.WarmWithin))
-		from := max(rules.ColdFrom, 0.01)
 		return part * (from + (1-from)*age) / from, true
 	}
 	return 0, false
 }
 
 // send starts an attempt that gate has passed.
-func (s *Scheduler) send(r *request, n *node, level int) {
-	v, f := r.vol, r.lane.flow
+func (s *Scheduler) send(r *request, n *node) {
+	v := r.vol
 	s.unqueue(r)
 	if len(r.attempts) > 0 {
 		s.resent.add(s.now, 1)
@@ -533,9 +527,6 @@
 	}
 	v.reserve = max(v.reserve-r.Units, -s.set.MostUnits)
 	v.tokens = max(v.tokens-r.Units, -s.set.MostUnits)
-	if level != levelReserve {
-		f.tag += r.Units / v.plan.Weight
-	}
 	a := &attempt{request: r, node: n, sent: s.now, solo: n.out == 0, units: r.Units}
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -597,6 +588,9 @@
 		n.spent += float64(o.Latency)
 		n.answers++
 		v.units += r.Units
+		if sh := s.shard(n.Shard); sh != nil {
+			sh.served += r.Units
+		}
 		s.sample(n, float64(o.Latency))
 		n.quick = min(cmp.Or(n.quick, n.latency), float64(o.Latency))
 		n.quick += quickPart * (float64(o.Latency) - n.quick)
@@ -617,9 +611,6 @@
 	}
 	if o.OthersUnits > 0 {
 		v.reserve = max(v.reserve-o.OthersUnits, -s.set.MostUnits)
-		f := r.lane.flow
-		f.tag = min(max(f.tag, f.shard.clock)+o.OthersUnits/v.plan.Weight,
-			f.shard.clock+2*s.set.MostUnits/v.plan.Weight)
 	}
 }
 
@@ -713,6 +704,12 @@
 	for _, v := range s.order {
 		s.cutFor(v)
 	}
+	for _, sh := range s.shards {
+		if sh.served > 0 && s.now-sh.node.Started > s.set.Rules.WarmWithin {
+			sh.usual += usualPart * (sh.served/float64(intervalSpan/second) - sh.usual)
+		}
+		sh.served = 0
+	}
 	for _, v := range s.order {
 		s.giveBack(v)
 	}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -308,6 +308,29 @@
 	}
 }
 
+// TestColdPartOfTheUsual has a host far above its even part of a node that
+// starts anew: all such parts together stay within the node's bounds.
+func TestColdPartOfTheUsual(t *testing.T) {
+	set := settings()
+	set.Hosts = 300
+	g := newRig(t, set)
+	for range 20 {
+		g.s.shards[0].served = 80 // 40 units a second, for 40 s
+		g.s.ended -= intervalSpan
+		g.s.interval()
+	}
+	g.step(&NodeList{Kind: ListChanges, Nodes: []Node{{ID: "a", State: Gone}, {ID: "b", Started: g.now}}})
+	n := g.s.shards[0].node
+	part, cold := g.s.coldPart(n)
+	if most := set.Rules.ColdMultiple * set.Rules.ColdFrom * 40; !cold || part < 0.3*most || part > most {
+		t.Errorf("%v units, want at most %v", part, most)
+	}
+	g.run(2 * second)
+	if sh := g.s.shards[0]; sh.served > 0 || sh.usual < 30 {
+		t.Errorf("what it served cold counts as usual: %v", sh.usual)
+	}
+}
+
 func TestOrderByKey(t *testing.T) {
 	ordered := func(q *Request) { q.Class, q.HasKey, q.Key = 3, true, 5 }
 	for _, c := range []struct {
--- a/state.go
+++ b/state.go
@@ -88,18 +88,18 @@
 	vol   *volume
 	shard *shard
 	lanes []*lane
-	tag   float64 // units sent beyond the reserve, by weight
 }
 
 // shard is a piece of the data with its node and its wait queue.
 type shard struct {
-	index int
-	node  *node
-	lanes []*lane
-	flows []*flow
-	clock float64 // the tag last served
-	wait  float64 // units waiting
-	dirty bool
+	index  int
+	node   *node
+	lanes  []*lane
+	flows  []*flow
+	wait   float64 // units waiting
+	served float64 // units served in this interval
+	usual  float64 // and usually, units a second
+	dirty  bool
 }
 
 // node is what the host knows of a node.
@@ -230,7 +230,7 @@
 func (s *Scheduler) laneOf(r *request, sh *shard) *lane {
 	i := slices.IndexFunc(r.vol.flows, func(f *flow) bool { return f.shard == sh })
 	if i < 0 {
-		f := &flow{vol: r.vol, shard: sh, tag: sh.clock}
+		f := &flow{vol: r.vol, shard: sh}
 		i = len(r.vol.flows)
 		r.vol.flows = append(r.vol.flows, f)
 		sh.flows = append(sh.flows, f)
