Stalls are told from slow nodes; cuts go on while a volume fails, as the design has it

Change: a beat each 0.1 s; one that is 50 ms overdue tells of a stall. In that step nothing is learned of nodes and aims, and a first try's age is what its class's usual wait lacks, up to the pause. What is past its aim is answered at once. Rates are divided by the time that passed. Holds also against any late scheduling of the host's process. May hurt where timers come late as a rule, for then nothing is learned in those steps.

--- a/scheduler.go
+++ b/scheduler.go
@@ -22,13 +22,13 @@
 // "ours" was chosen here by runs on all deployments.
 const (
 	second        Micros = 1_000_000
+	beatSpan             = second / 10  // ours: how often the host looks whether it stood still
+	stallLeast           = second / 20  // ours: a beat so late tells of a stall
 	capSpan              = second / 2   // ours: how often caps are learned
 	intervalSpan         = 2 * second   // design: the quadrants' interval
 	pulseSpan            = second / 100 // ours: how often waiting requests are looked at anew
 	stepPart             = 0.05         // paper: a step, as part of the volume's even part
 	stepsPerCheck        = 3            // paper's m: steps between two looks at what they brought
-	gainPart             = 0.95         // ours: latency must fall below this part for cuts to go on
-	restIntervals        = 5            // ours: intervals without cuts after some that brought nothing
 	capAimPart           = 0.3          // ours: part of the tightest aim that units out may take
 	lostTimes            = 4.0          // ours: mean latencies after which an answer may be lost
 	capLeast             = 0.25         // ours: least cap, in mean requests
@@ -63,11 +63,18 @@
 	s.now, s.actions = now, s.actions[:0]
 	if !s.begun {
 		s.begun, s.born, s.ended = true, now, now
-		s.timer(capSpan, tokenInterval)
+		s.beat()
 		if s.set.Subscribe {
 			s.act(Action{Kind: Subscribe})
 		}
 	}
+	// A beat long overdue tells that the host stood still: all that came
+	// meanwhile comes now, and its times are not the nodes'.
+	if s.stall = s.now - s.due; s.stall > stallLeast {
+		s.stall += beatSpan
+	} else {
+		s.stall = 0
+	}
 	for _, e := range events {
 		s.handle(e)
 	}
@@ -96,15 +103,23 @@
 	}
 }
 
+// beat sets the timer of the next look at intervals and stalls.
+func (s *Scheduler) beat() {
+	s.due = s.now + beatSpan
+	s.timer(beatSpan, tokenInterval)
+}
+
 // ring handles a timer.
 func (s *Scheduler) ring(token uint64) {
 	switch {
 	case token == tokenInterval:
-		s.learnCaps()
+		if s.now >= s.learned+capSpan {
+			s.learnCaps()
+		}
 		if s.now >= s.ended+intervalSpan {
 			s.interval()
 		}
-		s.timer(capSpan, tokenInterval)
+		s.beat()
 	case token == tokenPulse:
 		s.pulsing = false
 		for _, sh := range s.shards {
@@ -185,6 +200,9 @@
 	r.aimAt = s.now + s.aim(r)
 	if q.Again { // the aim counts from the client's first try
 		r.aimAt -= max(0, r.class.Deadline-q.Left)
+	} else { // and from when it came, which Left tells after a stall
+		s.patience[q.Class] = max(s.patience[q.Class], q.Left)
+		r.aimAt -= min(s.stall, s.patience[q.Class]-q.Left)
 	}
 	r.vol = s.volume(q.Volume)
 	s.timer(max(0, q.Left-s.set.Tick), tokenRequest+uint64(q.ID))
@@ -585,8 +603,10 @@
 	case OK:
 		n.heard = max(n.heard, a.sent)
 		s.lossy -= lossyPart * s.lossy
-		n.spent += float64(o.Latency)
-		n.answers++
+		if s.stall == 0 {
+			n.spent += float64(o.Latency)
+			n.answers++
+		}
 		v.units += r.Units
 		if sh := s.shard(n.Shard); sh != nil {
 			sh.served += r.Units
@@ -640,6 +660,9 @@
 
 // sample takes in how long an answer of n took.
 func (s *Scheduler) sample(n *node, latency float64) {
+	if s.stall > 0 {
+		return
+	}
 	drained := n.latency - s.drain()*float64(s.now-n.sampled)
 	n.latency, n.sampled = blend(max(drained, n.quick), latency), s.now
 }
@@ -671,7 +694,7 @@
 	if !r.over {
 		r.over = true
 		s.unqueue(r)
-		if r.vol != nil {
+		if r.vol != nil && s.stall == 0 {
 			r.vol.answers++
 			r.vol.ratio += float64(s.now-r.aimAt+s.aim(r)) / float64(s.aim(r))
 		}
@@ -697,16 +720,17 @@
 // interval ends an interval: quadrants are set, rates cut or given back, and
 // what is old forgotten.
 func (s *Scheduler) interval() {
+	span := float64(max(s.now-s.ended, intervalSpan)) / float64(second)
 	s.ended = s.now
 	for _, v := range s.order {
-		s.measure(v)
+		s.measure(v, span)
 	}
 	for _, v := range s.order {
 		s.cutFor(v)
 	}
 	for _, sh := range s.shards {
 		if sh.served > 0 && s.now-sh.node.Started > s.set.Rules.WarmWithin {
-			sh.usual += usualPart * (sh.served/float64(intervalSpan/second) - sh.usual)
+			sh.usual += usualPart * (sh.served/span - sh.usual)
 		}
 		sh.served = 0
 	}
@@ -719,6 +743,7 @@
 // learnCaps sets each node's cap: its service rate times a part of the tightest
 // aim. The rate is what was out over how long it took, in busy intervals only.
 func (s *Scheduler) learnCaps() {
+	s.learned = s.now
 	for _, sh := range s.shards {
 		n := sh.node
 		if n == nil {
@@ -734,8 +759,8 @@
 }
 
 // measure sets a volume's rate, latency and quadrant.
-func (s *Scheduler) measure(v *volume) {
-	v.measured = v.units * float64(second) / float64(intervalSpan)
+func (s *Scheduler) measure(v *volume, span float64) {
+	v.measured = v.units / span
 	rate, due := v.measured, v.plan.Rate/v.hosts
 	if v.told > 0 {
 		rate, due = v.told, v.plan.Rate
@@ -755,28 +780,14 @@
 	v.units, v.ratio, v.answers, v.cut = 0, 0, 0, false
 }
 
-// cutFor cuts others for a failed volume, one step an interval. Cuts that
-// brought nothing after the steps of a check are given back and rest.
+// cutFor cuts others for a failed volume, one step an interval.
 func (s *Scheduler) cutFor(v *volume) {
 	t := &v.trial
 	if v.quad != failed {
 		t.steps, t.list = 0, nil
 		return
 	}
-	if t.rest > 0 {
-		t.rest--
-		return
-	}
-	if t.steps > 0 && t.steps%stepsPerCheck == 0 {
-		if v.over >= gainPart*t.over {
-			s.stopCuts(v)
-			return
-		}
-		if s.changed(v) {
-			t.list = nil
-		}
-	}
-	if t.list == nil {
+	if t.list == nil || t.steps%stepsPerCheck == 0 && s.changed(v) {
 		s.listCuts(v)
 	}
 	for _, c := range t.list {
@@ -788,6 +799,9 @@
 // changed tells whether the list of cuts must be built anew.
 func (s *Scheduler) changed(v *volume) bool {
 	t := &v.trial
+	if v.over > t.over {
+		return true
+	}
 	for i, c := range t.list {
 		if c.quad == lucky && !c.wasLucky || c.measured > 2*t.rates[i] || c.measured < t.rates[i]/2 {
 			return true
@@ -835,17 +849,6 @@
 	c.rate = max(c.rate-c.step(), c.plan.Reserve/c.hosts, c.step())
 }
 
-// stopCuts gives back what brought v nothing, and rests.
-func (s *Scheduler) stopCuts(v *volume) {
-	for _, c := range v.trial.list {
-		if !c.cut {
-			s.fill(c)
-			c.rate = 0
-		}
-	}
-	v.trial = trial{rest: restIntervals}
-}
-
 // giveBack returns one step, by weight, to a volume on whose nodes none has
 // failed.
 func (s *Scheduler) giveBack(v *volume) {
@@ -854,7 +857,7 @@
 	}
 	for _, f := range v.flows {
 		for _, g := range f.shard.flows {
-			if g.vol.quad == failed && g.vol.trial.rest == 0 {
+			if g.vol.quad == failed {
 				return
 			}
 		}
--- a/settings.go
+++ b/settings.go
@@ -13,6 +13,7 @@
 	s := &Scheduler{
 		set: set, nodes: map[NodeID]*node{}, requests: map[RequestID]*request{},
 		volumes: map[VolumeID]*volume{}, turns: map[uint64]*turn{}, cost: make([]float64, len(set.Classes)),
+		patience: make([]Micros, len(set.Classes)),
 		tightest: set.Classes[0].Aim, wait: listFirst, dice: generator(set.Seed),
 	}
 	for _, c := range set.Classes {
--- a/state.go
+++ b/state.go
@@ -152,7 +152,6 @@
 	rates []float64
 	steps int
 	over  float64
-	rest  int
 }
 
 // generator is a seeded source of numbers.
@@ -174,6 +173,9 @@
 	born     Micros
 	ended    Micros // when the last interval ended
 	begun    bool
+	learned  Micros // when caps were last learned
+	due      Micros // when the next beat is due
+	stall    Micros // for how long the host stood still before this step, at most
 	actions  []Action
 	nodes    map[NodeID]*node
 	shards   []*shard
@@ -183,6 +185,7 @@
 	turns    map[uint64]*turn
 	cost     []float64 // by class: microseconds of service for a unit
 	tightest Micros
+	patience []Micros // by class: how long a client waits at its first try
 	taken    window
 	resent   window
 	pulsing  bool
