--- a/scheduler.go
+++ b/scheduler.go
@@ -228,7 +228,7 @@
 	v := s.volumes[q.ID]
 	if v == nil {
 		v = &volume{id: q.ID, plan: &s.set.Plans[q.Plan], hosts: float64(max(1, q.Hosts)), quad: meet}
-		v.filled, v.store, v.reserve = s.born, s.set.MostUnits, s.set.MostUnits
+		v.filled, v.store, v.reserve = s.born, s.set.MostUnits, s.set.MostUnits/v.hosts
 		s.volumes[q.ID] = v
 		s.order = append(s.order, v)
 	}
@@ -246,7 +246,7 @@
 	if !s.set.TellsOthers {
 		part /= v.hosts
 	}
-	v.reserve = min(v.reserve+part*span, part+s.set.MostUnits)
+	v.reserve = min(v.reserve+part*span, (v.plan.Reserve+s.set.MostUnits)/v.hosts)
 	v.tokens = min(v.tokens+v.rate*span, v.rate*float64(tokenSpan/second)+s.set.MostUnits)
 }
 
