--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -455,7 +455,7 @@
 	out := []RequestID{g.ask(big(2, 0)), g.ask(big(2, 0))} // volume 2 uses its reserve up
 	g.end(out[0], OK)
 	late := g.ask(func(q *Request) { big(1, 0)(q); q.Again, q.Left = true, 2000*ms })
-	cheap := g.ask(big(3, 2))
+	cheap := g.ask(big(4, 2))
 	beyond := g.ask(big(2, 0))
 	best := g.ask(big(3, 0))
 	for _, id := range []RequestID{out[1], best, cheap, beyond} {
