What a request waits is told from its own work; new objects keep from cold nodes

Now each class's work a unit is learned from the low end of its answers, and a node's queue is what an answer took beyond that. Now a cold node takes new objects only where the turn has come. Holds also against any mix of sizes and slow nodes; may hurt where work varies much at one size.

--- a/scheduler.go
+++ b/scheduler.go
@@ -45,7 +45,8 @@
 	lossyFrom            = 0.02         // ours: share of lost answers from which silence is not trusted
 	usualPart            = 0.1          // ours: weight of an interval in what a shard usually serves
 	coldShare            = 0.5          // ours: part of a cold node's bounds used: it may be slower
-	quickPart            = 0.02         // ours: by how much a node's quickest answer follows the others
+	cheapPart            = 0.1          // ours: weight of an answer quicker than a class's work is held to be
+	dearPart             = 0.02         // ours: and of one that took longer, which may have waited
 	limitFull            = 0.9          // ours: above this part of its store a limit is not scarce
 	listFirst            = second / 2   // ours: first wait before asking for the list again; it doubles
 	volumeAge            = 60 * second  // ours: volumes idle for so long are forgotten
@@ -170,7 +171,7 @@
 		s.nodes[entry.ID] = n
 	}
 	if entry.Started > n.Started { // what was seen of it no longer holds
-		n.latency, n.quick = 0, 0
+		n.queue = 0
 	}
 	n.Node = entry
 	sh := s.shard(entry.Shard)
@@ -272,7 +273,8 @@
 }
 
 // place chooses the shard of a new object: the one whose node should answer
-// first, by what waits and is out there and how long its answers take.
+// first, by what waits and is out there and how long its answers take; a cold
+// one only where this host's turn has come.
 func (s *Scheduler) place(r *request) *shard {
 	var best *shard
 	var least float64
@@ -281,9 +283,8 @@
 		if n == nil || n.State != Ready {
 			continue
 		}
-		load := (sh.wait + n.out + r.Units) / max(n.cap, 1) * max(n.latency, s.oldest(n), 1)
-		sent := n.sent.since(s.now - s.set.Rules.ColdSpan)
-		if allowed, cold := s.coldPart(n); cold && sent+sh.wait > allowed/2 {
+		load := (sh.wait + n.out + r.Units) / max(n.cap, 1) * max(s.expected(n)+s.own(r), 1)
+		if allowed, cold := s.coldPart(n); cold && (sh.wait > 0 || !s.bears(n, r, allowed)) {
 			load += float64(second)
 		}
 		load *= 1 + 0.1*s.dice.random()
@@ -345,7 +346,7 @@
 // worth less waits first when answers get slow. The bounds are scattered by
 // request, so that hosts do not stop and start in step.
 func (s *Scheduler) admits(n *node, r *request, level int) bool {
-	queue := (s.expected(n) - n.quick) / float64(s.tightest) / r.patience
+	queue := s.expected(n) / float64(s.tightest) / r.patience
 	switch level {
 	case levelShare:
 		return queue <= sharePart
@@ -355,28 +356,31 @@
 	return true
 }
 
-// expected returns how long an answer of n should take now. What was seen is
+// own returns the time that r's work should take on a node that is not slow.
+func (s *Scheduler) own(r *request) float64 { return s.cost[r.Class] * r.Units }
+
+// expected returns how long a request should wait at n now. What was seen is
 // taken to drain with time: a host that holds back gets no news.
 func (s *Scheduler) expected(n *node) float64 {
-	drained := n.latency - s.drain()*float64(s.now-n.sampled)
+	drained := max(0, n.queue-s.drain()*float64(s.now-n.sampled))
 	if s.lossy < lossyFrom { // where answers get lost, a missing one tells nothing
 		drained = max(drained, s.oldest(n))
 	}
-	return max(drained, n.quick)
+	return drained
 }
 
 // candidate returns the first request of a lane that may be sent now. Those
-// that gate bars or that not even n's quickest answer could serve in time are
+// that gate bars or that not even an idle node could serve in time are
 // answered: what is late takes as much of a node and earns a fraction.
 func (s *Scheduler) candidate(l *lane, n *node) *request {
 	for i, looked := 0, 0; i < len(l.queue) && looked < scanMost; i++ {
 		r := l.queue[i]
 		left, verdict := float64(r.aimAt-s.now), s.gate(r, n)
 		switch {
-		case verdict == bar || left <= n.quick:
+		case verdict == bar || left <= feasiblePart*s.own(r):
 			s.finish(r)
 			i = -1
-		case left < feasiblePart*s.expected(n):
+		case left < feasiblePart*(s.expected(n)+s.own(r)):
 		case verdict == pass:
 			return r
 		default:
@@ -545,7 +549,7 @@
 	}
 	v.reserve = max(v.reserve-r.Units, -s.set.MostUnits)
 	v.tokens = max(v.tokens-r.Units, -s.set.MostUnits)
-	a := &attempt{request: r, node: n, sent: s.now, solo: n.out == 0, units: r.Units}
+	a := &attempt{request: r, node: n, sent: s.now, units: r.Units}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	n.outs = append(n.outs, a)
@@ -611,17 +615,18 @@
 		if sh := s.shard(n.Shard); sh != nil {
 			sh.served += r.Units
 		}
-		s.sample(n, float64(o.Latency))
-		n.quick = min(cmp.Or(n.quick, n.latency), float64(o.Latency))
-		n.quick += quickPart * (float64(o.Latency) - n.quick)
-		if a.solo {
-			s.cost[r.Class] = blend(s.cost[r.Class], float64(o.Latency)/max(r.Units, 1))
+		per := float64(o.Latency) / max(r.Units, 1)
+		cost, gain := cmp.Or(s.cost[r.Class], per), dearPart // the work alone: the low end of what is seen
+		if per < cost {
+			gain = cheapPart
 		}
+		s.cost[r.Class] = cost + gain*(per-cost)
+		s.sample(n, float64(o.Latency)-s.own(r))
 	case Full, Unreachable:
-		s.sample(n, max(n.latency, float64(s.tightest)))
+		s.sample(n, max(n.queue, float64(s.tightest)))
 	case Reset, TimedOut, Cancelled:
 		if a.sent > n.heard { // not overtaken: the node is slow, the answer isn't lost
-			s.sample(n, max(n.latency, float64(o.Latency)))
+			s.sample(n, max(n.queue, float64(o.Latency)))
 		} else {
 			s.lossy += lossyPart
 		}
@@ -642,7 +647,7 @@
 		return
 	}
 	for _, a := range n.outs {
-		if a.done || a.lost || float64(s.now-a.sent) <= lostTimes*n.latency {
+		if a.done || a.lost || float64(s.now-a.sent) <= lostTimes*(n.queue+s.own(a.request)) {
 			continue
 		}
 		a.lost = true
@@ -658,20 +663,13 @@
 // all that fill it, holds back.
 func (s *Scheduler) drain() float64 { return max(drainLeast, 1/float64(s.set.Hosts)) }
 
-// sample takes in how long an answer of n took.
-func (s *Scheduler) sample(n *node, latency float64) {
+// sample takes in how long a request waited at n.
+func (s *Scheduler) sample(n *node, queue float64) {
 	if s.stall > 0 {
 		return
 	}
-	drained := n.latency - s.drain()*float64(s.now-n.sampled)
-	n.latency, n.sampled = blend(max(drained, n.quick), latency), s.now
-}
-
-func blend(mean, sample float64) float64 {
-	if mean == 0 {
-		return sample
-	}
-	return mean + learnPart*(sample-mean)
+	drained := max(0, n.queue-s.drain()*float64(s.now-n.sampled))
+	n.queue, n.sampled = drained+learnPart*(max(0, queue)-drained), s.now
 }
 
 // finish gives the one final answer: a refusal only where no attempt may
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -499,7 +499,9 @@
 func TestNewObjectsGoWhereAnswersComeFirst(t *testing.T) {
 	g := newRig(t, settings(), Node{ID: "a"}, Node{ID: "b", Shard: 1})
 	object := func(q *Request) { q.Shard, q.Class = -1, 2 }
-	g.s.shards[0].node.latency, g.s.shards[1].node.latency = 900_000, 30_000
+	for i, queue := range []float64{30_000, 0} {
+		g.s.shards[i].node.queue, g.s.shards[i].node.sampled = queue, g.now
+	}
 	id := g.ask(object)
 	if g.nodeOf[id] != "b" {
 		t.Errorf("sent to %q, not to the fast node", g.nodeOf[id])
@@ -510,6 +512,22 @@
 	}
 }
 
+// TestNewObjectsKeepFromColdNodes has an idle node that starts anew, of which
+// this host's turn has not come: objects for it would wait until they die.
+func TestNewObjectsKeepFromColdNodes(t *testing.T) {
+	set := settings()
+	set.Hosts = 300
+	g := newRig(t, set, Node{ID: "a"}, Node{ID: "b", Shard: 1})
+	g.step(&NodeList{Kind: ListChanges, Nodes: []Node{{ID: "b", Shard: 1, Started: g.now}}})
+	n := g.s.shards[0].node
+	n.queue, n.sampled = 300_000, g.now
+	for range 5 {
+		if id := g.ask(func(q *Request) { q.Shard, q.Class = -1, 2 }); g.nodeOf[id] == "b" || g.s.shards[1].wait > 0 {
+			t.Fatalf("it was to go to %q", g.nodeOf[id])
+		}
+	}
+}
+
 // quadrants sets what interval sees of three volumes at one node.
 func quadrants(g *rig) (failing, over *volume) {
 	for id := VolumeID(1); id <= 2; id++ {
@@ -605,7 +623,7 @@
 			g := newRig(t, settings())
 			n := g.s.shards[0].node
 			g.end(g.ask(nil), OK)
-			before, out := n.latency, g.ask(nil)
+			before, out := n.queue, g.ask(nil)
 			if c.stalled {
 				g.now += 1200 * ms
 			} else {
@@ -619,8 +637,8 @@
 			if c.stalled {
 				g.want("refuse 901", "send 902")
 			}
-			if slow := n.latency > before; slow == c.stalled {
-				t.Errorf("latency %v after %v", n.latency, before)
+			if slow := n.queue > before; slow == c.stalled {
+				t.Errorf("queue %v after %v", n.queue, before)
 			}
 			if missed := g.s.volumes[1].ratio > 2; missed == c.stalled {
 				t.Errorf("missed aims of %v", g.s.volumes[1].ratio)
@@ -757,7 +775,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, settings())
 			n := g.s.shards[0].node
-			n.latency, g.s.lossy = 20_000, c.lossy
+			n.queue, g.s.lossy = 20_000, c.lossy
 			lost := g.ask(nil)
 			g.run(200 * ms)
 			g.step()
@@ -834,8 +852,7 @@
 	}{{20 * ms, true, true, true}, {90 * ms, true, true, false}, {250 * ms, true, false, false}} {
 		g := newRig(t, settings())
 		n := g.s.shards[0].node
-		n.quick, n.sampled = float64(20*ms), g.now
-		n.latency = float64(c.latency)
+		n.queue, n.sampled = float64(c.latency-20*ms), g.now
 		r := &request{Request: &Request{Units: 2}, patience: 1}
 		for level, want := range []bool{c.reserve, c.share, c.spare} {
 			if got := g.s.admits(n, r, level); got != want {
--- a/state.go
+++ b/state.go
@@ -47,7 +47,6 @@
 	done    bool
 	lost    bool    // overtaken; no longer counted
 	units   float64 // that it counts towards the cap
-	solo    bool    // nothing else of this host was out at the node
 }
 
 // request is a request from its acceptance to its last outcome.
@@ -113,9 +112,8 @@
 	answers float64
 	bound   int // looks at which the cap held a request back
 	looks   int
-	latency float64 // running mean, microseconds
-	quick   float64 // its quickest answers, microseconds
-	sampled Micros  // when latency was last brought up to date
+	queue   float64 // running mean of how long requests wait there, microseconds
+	sampled Micros  // when queue was last brought up to date
 	turn    Micros  // while it is cold: nothing before this time
 	turnOf  Micros  // the start that turn counts from
 	sent    window
@@ -223,7 +221,7 @@
 	}
 	for _, a := range n.outs {
 		if !a.done && a.sent > n.heard {
-			return float64(s.now - a.sent)
+			return float64(s.now-a.sent) - s.own(a.request)
 		}
 	}
 	return 0
@@ -283,6 +281,6 @@
 
 // aim returns the span within which r earns its full worth.
 func (s *Scheduler) aim(r *request) Micros {
-	stretch := r.class.AimStretch * s.cost[r.Class] * r.Units
+	stretch := r.class.AimStretch * s.own(r)
 	return min(r.class.Aim+Micros(stretch), r.class.Deadline)
 }
