A request is sent only where 1.1 times what is expected fits before its aim

Now that a queue is told from a request's own work, the part can be honest: 0.8 let through what came late.

--- a/scheduler.go
+++ b/scheduler.go
@@ -37,7 +37,7 @@
 	capMost              = 32.0         // design: units out at a node at most
 	learnPart            = 0.3          // ours: weight of a new sample in running means
 	busyPart             = 0.5          // ours: an interval is busy when the cap bound for this part
-	feasiblePart         = 0.8          // ours: part of the node's mean latency an answer is sure to take
+	feasiblePart         = 1.1          // ours: part of the expected time that must fit before the aim
 	sharePart            = 0.3          // ours: queue, in tightest aims, above which no share is sent
 	sparePart            = 0.1          // ours: and no spare
 	drainLeast           = 0.03         // ours: by how much a queue not heard of drains in its time, at least
