--- a/scheduler.go
+++ b/scheduler.go
@@ -728,7 +728,8 @@
 	}
 	for _, sh := range s.shards {
 		if sh.served > 0 && s.now-sh.node.Started > s.set.Rules.WarmWithin {
-			sh.usual += usualPart * (sh.served/span - sh.usual)
+			sh.seen++
+			sh.usual += max(usualPart, 1/sh.seen) * (sh.served/span - sh.usual)
 		}
 		sh.served = 0
 	}
--- a/state.go
+++ b/state.go
@@ -98,6 +98,7 @@
 	wait   float64 // units waiting
 	served float64 // units served in this interval
 	usual  float64 // and usually, units a second
+	seen   float64 // intervals that usual is the mean of
 	dirty  bool
 }
 
