--- a/scheduler.go
+++ b/scheduler.go
@@ -39,6 +39,7 @@
 	busyPart             = 0.5          // ours: an interval is busy when the cap bound for this part
 	feasiblePart         = 1.1          // ours: part of the expected time that must fit before the aim
 	sharePart            = 0.3          // ours: queue, in tightest aims, above which no share is sent
+	startPart            = 0.2          // ours: queue, in tightest aims, at a node not known yet
 	sparePart            = 0.1          // ours: and no spare
 	drainLeast           = 0.03         // ours: by how much a queue not heard of drains in its time, at least
 	lossyPart            = 0.02         // ours: weight of an answer in the share of lost ones
@@ -167,11 +168,11 @@
 		if entry.State == Gone {
 			return
 		}
-		n = &node{cap: capFirst * s.set.MeanUnits}
+		n = &node{Node: Node{Started: -1}, cap: capFirst * s.set.MeanUnits}
 		s.nodes[entry.ID] = n
 	}
-	if entry.Started > n.Started { // what was seen of it no longer holds
-		n.queue = 0
+	if entry.Started > n.Started { // not known (any more): many hosts may start at once
+		n.queue, n.sampled = startPart*float64(s.tightest), s.now
 	}
 	n.Node = entry
 	sh := s.shard(entry.Shard)
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -59,6 +59,9 @@
 		nodes = []Node{{ID: "a"}}
 	}
 	g.step(&NodeList{Kind: ListStored, Nodes: nodes})
+	for _, n := range s.nodes {
+		n.queue = 0 // the tests' nodes are known to be idle
+	}
 	return g
 }
 
@@ -843,6 +846,29 @@
 	}
 }
 
+// TestUnknownNodesGetNoSpare has many hosts find a node at once, at their start
+// or at the node's: what is worth least waits for the first answers.
+func TestUnknownNodesGetNoSpare(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		started Micros
+		want    bool
+	}{{"a new node", 1, false}, {"the node that is known", 0, true}} {
+		g := newRig(t, settings())
+		g.step(&NodeList{Kind: ListChanges, Nodes: []Node{{ID: "a", Started: c.started}}})
+		n, r := g.s.shards[0].node, &request{Request: &Request{Units: 2}, patience: 1}
+		if got := g.s.admits(n, r, levelSpare); got != c.want || !g.s.admits(n, r, levelReserve) {
+			t.Errorf("%s: spare %v, want %v", c.name, got, c.want)
+		}
+		for range 10 {
+			g.s.sample(n, 0)
+		}
+		if !g.s.admits(n, r, levelSpare) {
+			t.Errorf("%s: still held for slow after quick answers", c.name)
+		}
+	}
+}
+
 // TestLevelsFollowTheNodesQueue is many hosts at one node: nothing of this host
 // is out, but answers get slow. What is worth less waits first.
 func TestLevelsFollowTheNodesQueue(t *testing.T) {
