--- a/scheduler.go
+++ b/scheduler.go
@@ -224,8 +224,8 @@
 }
 
 // volume returns the state of a volume, made anew where it is not known. Its
-// limit store starts as if it had been empty at this host's start: a host
-// that was killed may have spent its part just before.
+// limit opens with one largest request at this host's start, not with a full
+// part: a host that was killed may have spent its part just before.
 func (s *Scheduler) volume(q Volume) *volume {
 	v := s.volumes[q.ID]
 	if v == nil {
