--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -892,3 +892,40 @@
 		}
 	}
 }
+
+// TestWhatCanNeverBeServedIsAnswered has limits and cold parts under one
+// request, in fleets of any size: each request gets its answer in time.
+func TestWhatCanNeverBeServedIsAnswered(t *testing.T) {
+	limited := func(q *Request) { q.Volume, q.Units = Volume{ID: 9, Plan: 1, Hosts: 5000}, 6 }
+	for _, c := range []struct {
+		name   string
+		hosts  int
+		change func(*Settings)
+	}{
+		{"a fleet of one, a volume through more hosts than there are", 1, func(*Settings) {}},
+		{"thousands of hosts", 5000, func(*Settings) {}},
+		{"a limit smaller than one request", 3, func(set *Settings) { set.Plans[1].LimitBurst = 1 }},
+		{"a cold node that bears next to nothing", 5000, func(set *Settings) { set.Rules.ColdUnits = 1e-6 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := settings()
+			set.Hosts = c.hosts
+			c.change(&set)
+			g := newRig(t, set)
+			g.step(&NodeList{Kind: ListChanges, Nodes: []Node{{ID: "a", Started: g.now}}})
+			for range 20 {
+				g.ask(limited)
+			}
+			g.run(3 * second)
+			for id := range g.sent {
+				g.end(id, TimedOut, func(o *Outcome) { o.Closed = true })
+			}
+			if n := len(g.s.requests); n != 0 {
+				t.Errorf("%d requests of 20 have no answer at their deadline", n)
+			}
+			if len(g.sent) > 1 {
+				t.Errorf("%d sent past the limit", len(g.sent))
+			}
+		})
+	}
+}
