The true age of what a host finds after a stall; answers first; the rule in the checker

Change: a stall is told from the beat's lateness (internal/stall, pure); TCP_INFO tells how long ago bytes came in, for requests and for bricks' answers; final words go out before anything new is read or sent, for a bounded time; the checker follows a written rule from the sockets' times and the stalls' own. A range over pieces gave the client's wait anew before its answer began: found on the way.

--- a/internal/brick/call.go
+++ b/internal/brick/call.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"arrowwalk"
@@ -123,6 +124,7 @@
 	From     int64   // first byte, where Status is 206
 	Size     int64   // of the whole blob, where Status is 206 or 416; else Length
 	Body     *http1.Body
+	Raw      syscall.RawConn // of its connection; nil: it has none
 
 	conn *conn
 	at   *Attempt
--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -186,7 +186,7 @@
 	if err := c.heads.ReadResponse(&c.resp, call.Method); err != nil {
 		return p.lose(at, c, err)
 	}
-	ans.conn, ans.at = c, at
+	ans.conn, ans.at, ans.Raw = c, at, c.raw
 	if err := ans.read(&c.resp); err != nil {
 		return p.lose(at, c, &http1.Error{Status: 502, Reason: err.Error()})
 	}
--- a/internal/emul/clients.go
+++ b/internal/emul/clients.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"arrowwalk"
+	"arrowwalk/internal/emul/scenario"
 	"arrowwalk/internal/rules"
 )
 
@@ -164,7 +165,11 @@
 	h.last++
 	r.task, r.accepted = arrowwalk.RequestID(h.last), true
 	h.requests[r.task] = r
-	wait := r.until - r.sentAt - h.stood/2 // as the request says; how long it lay in the socket, the host cannot know
+	wait := r.until - r.sentAt // as the request says
+	if s.found > 0 && s.s.Site.Found == scenario.FoundHalf {
+		wait -= (h.stood.To - h.stood.From) / 2
+	}
+	wait -= s.now - s.came()
 	h.inbox = append(h.inbox, &arrowwalk.Request{ID: r.task, Class: r.class, Left: arrowwalk.Micros(max(1, wait-margin)), Units: r.units, Shard: r.shard,
 		Again: r.tries > 0, Volume: arrowwalk.Volume{ID: arrowwalk.VolumeID(r.volume.number + 1), Plan: r.volume.plan, Hosts: len(r.volume.hosts)}})
 }
@@ -235,16 +240,13 @@
 	s.mark('c', int64(r.id), int64(r.tries), int64(status))
 	h := s.hosts[r.host]
 	c := rules.Call{Client: fmt.Sprint("v", r.volume.number), Host: r.host, Method: "GET", Key: r.name(), Write: r.class == classWrite, Sent: r.sentAt,
-		Waits: r.until - r.sentAt, Ended: s.now, Status: status, Whole: true, Left: left, RetryTold: true, Stopping: h.upsetDuring(r.sentAt, s.now)}
+		Waits: r.until - r.sentAt, Ended: s.now, Status: status, Whole: true, Left: left, RetryTold: true, Stopping: h.downDuring(r.sentAt, s.now)}
 	if c.Write {
 		c.Method = "PUT"
 	}
 	if status != 0 {
 		c.Begun = s.now
 		c.ID = fmt.Sprintf("%d-%d-%d", r.host, h.run, r.id<<8|uint64(r.tries))
-		if c.Stopping && c.Begun > c.Sent+c.Waits { // a host that stood still was late: nobody waited any more
-			c.Left = true
-		}
 	}
 	s.trace.Calls = append(s.trace.Calls, c)
 }
--- a/internal/emul/hosts.go
+++ b/internal/emul/hosts.go
@@ -9,24 +9,26 @@
 	"arrowwalk/internal/emul/policy"
 	"arrowwalk/internal/membership/trust"
 	"arrowwalk/internal/rules"
+	"arrowwalk/internal/stall"
 )
 
 // hostSim is an emulated host: the module with its timers (host.Engine), the
 // gate that node lists pass, and what the running host keeps beside them.
 type hostSim struct {
-	id, zone int
-	skew     int64 // its clock is ahead by as much
-	run      int
-	up       bool
-	stalled  int64 // until
-	stood    int64 // for how long it stood still, while it takes what came meanwhile
-	decider  policy.Decider
-	requests map[arrowwalk.RequestID]*request
-	last     uint64
-	inbox    []arrowwalk.Event
-	held     []event // what came during a stall
-	armed    int64
-	upset    []outage // stalls and crashes, for what no answer may excuse
+	id, zone  int
+	skew      int64 // its clock is ahead by as much
+	run       int
+	up        bool
+	stalled   int64 // until
+	stallFrom int64
+	stood     stall.Stall // the last time that it stood still
+	decider   policy.Decider
+	requests  map[arrowwalk.RequestID]*request
+	last      uint64
+	inbox     []arrowwalk.Event
+	held      []heldEvent // what came during a stall
+	armed     int64
+	down      []outage // crashes, which excuse that there is no answer
 
 	gate     *trust.Gate
 	doubts   *trust.Doubts
@@ -38,6 +40,12 @@
 
 type outage struct{ from, to int64 }
 
+// heldEvent is what came to a host that stood still, and when.
+type heldEvent struct {
+	event
+	at int64
+}
+
 // attempt is one sending.
 type attempt struct {
 	rq      *request
@@ -252,7 +260,7 @@
 		s.resume(h, e.n)
 	case !h.up:
 	case h.stalled > s.now:
-		h.held = append(h.held, *e)
+		h.held = append(h.held, heldEvent{*e, s.now})
 	default:
 		if s.take1(h, e) {
 			s.step(h)
@@ -306,9 +314,13 @@
 	}
 	r := at.rq
 	closed := status == arrowwalk.OK && !r.final
+	unseen := int64(0)
+	if status != arrowwalk.OK && s.found == 0 && s.s.Site.TellsAge() {
+		unseen = h.stood.Within(at.sent, s.now)
+	}
 	h.inbox = append(h.inbox, &arrowwalk.Outcome{
 		Attempt: arrowwalk.Attempt{Request: r.task, Number: at.number, Node: arrowwalk.NodeID(s.bricks[at.brick].Name)},
-		Status:  status, Latency: arrowwalk.Micros(s.now - at.sent), Closed: closed, FleetUse: r.volume.told, OthersUnits: at.others})
+		Status:  status, Latency: arrowwalk.Micros(s.came() - at.sent - unseen), Closed: closed, FleetUse: r.volume.told, OthersUnits: at.others})
 	if r.running == at {
 		r.running = nil
 	}
@@ -396,8 +408,8 @@
 	if !h.up || h.stalled > s.now {
 		return
 	}
-	h.stalled = s.now + span
-	h.upset = append(h.upset, outage{s.now, h.stalled})
+	h.stalled, h.stallFrom = s.now+span, s.now
+	s.trace.Stills = append(s.trace.Stills, rules.Still{Host: h.id, From: s.now, To: h.stalled})
 	s.push(h.stalled, event{kind: evResume, who: int32(h.id), n: int64(h.run)})
 }
 
@@ -407,31 +419,37 @@
 		return
 	}
 	held := h.held
-	h.held, h.armed, h.stalled = nil, 0, 0
-	if n := len(h.upset); n > 0 && s.s.Site.Discount {
-		h.stood = h.upset[n-1].to - h.upset[n-1].from
-	}
+	h.held, h.armed, h.stood, h.stalled = nil, 0, stall.Stall{From: h.stallFrom, To: h.stalled}, 0
 	for i := range held {
-		s.take1(h, &held[i])
+		s.found = held[i].at
+		s.take1(h, &held[i].event)
 	}
-	h.stood = 0
+	s.found = 0
 	s.step(h)
 }
 
+// came returns when what a host takes in has come, as far as it knows.
+func (s *Sim) came() int64 {
+	if s.found > 0 && s.s.Site.TellsAge() {
+		return s.now - (s.now-s.found)/1000*1000 // the kernel tells milliseconds
+	}
+	return s.now
+}
+
 // crash ends a host; it is back after a span.
 func (s *Sim) crash(h *hostSim, span int64) {
 	if !h.up {
 		return
 	}
 	h.up, h.stalled, h.doubts = false, 0, nil
-	h.upset = append(h.upset, outage{s.now, s.now + span})
+	h.down = append(h.down, outage{s.now, s.now + span})
 	for _, r := range sortedRequests(h.requests) {
 		if !r.final {
 			s.cut(r)
 		}
 	}
 	for i := range h.held { // in the kernel's hands: their connections break too
-		if e := &h.held[i]; e.kind == evTry && !e.rq.final {
+		if e := &h.held[i].event; e.kind == evTry && !e.rq.final {
 			s.cut(e.rq)
 		}
 	}
@@ -446,9 +464,9 @@
 	}})
 }
 
-// upsetDuring tells whether a host stood still or was down in a span.
-func (h *hostSim) upsetDuring(from, to int64) bool {
-	for _, o := range h.upset {
+// downDuring tells whether a host was down in a span.
+func (h *hostSim) downDuring(from, to int64) bool {
+	for _, o := range h.down {
 		if o.from <= to && from <= o.to {
 			return true
 		}
--- a/internal/emul/scenario/scenario.go
+++ b/internal/emul/scenario/scenario.go
@@ -35,21 +35,31 @@
 
 // Site is hosts, bricks and what is between them.
 type Site struct {
-	Hosts    int     `json:"hosts"`
-	Zones    int     `json:"zones"`
-	Bricks   int     `json:"bricks"` // one for each shard at first
-	Brick    Brick   `json:"brick"`
-	DelayUS  [2]int  `json:"delay_us"`                 // one way, from least to most
-	Loss     float64 `json:"loss,omitempty"`           // of messages: the attempt hears nothing
-	ListMS   [2]int  `json:"list_ms"`                  // how late a host hears of the node list
-	SkewMS   int     `json:"skew_ms"`                  // clocks of hosts are off by as much, either way
-	Window   int     `json:"window_ms"`                // for which a zone drops repeats
-	Grace    int     `json:"drain_grace_ms"`           // for sends after a drain was told
-	MeterMS  int     `json:"meter_ms"`                 // period of the figures of use in answers
-	Discount bool    `json:"stall_discount,omitempty"` // hosts take what they find after a stall for as old as that
-	Guard    string  `json:"guard,omitempty"`          // a guard taken out, so that claims are seen to fail: cold or drains
+	Hosts   int     `json:"hosts"`
+	Zones   int     `json:"zones"`
+	Bricks  int     `json:"bricks"` // one for each shard at first
+	Brick   Brick   `json:"brick"`
+	DelayUS [2]int  `json:"delay_us"`        // one way, from least to most
+	Loss    float64 `json:"loss,omitempty"`  // of messages: the attempt hears nothing
+	ListMS  [2]int  `json:"list_ms"`         // how late a host hears of the node list
+	SkewMS  int     `json:"skew_ms"`         // clocks of hosts are off by as much, either way
+	Window  int     `json:"window_ms"`       // for which a zone drops repeats
+	Grace   int     `json:"drain_grace_ms"`  // for sends after a drain was told
+	MeterMS int     `json:"meter_ms"`        // period of the figures of use in answers
+	Found   string  `json:"found,omitempty"` // for how old hosts take what they find after a stall
+	Guard   string  `json:"guard,omitempty"` // a guard taken out, so that claims are seen to fail: cold or drains
 }
 
+// What Found may be.
+const (
+	FoundAge   = "age"   // as old as it is, which the kernel tells; the same as ""
+	FoundHalf  = "half"  // half as old as the stall
+	FoundFresh = "fresh" // as if it had just come
+)
+
+// TellsAge tells whether hosts know how old what they find after a stall is.
+func (s *Site) TellsAge() bool { return s.Found == "" || s.Found == FoundAge }
+
 // Brick is what bricks are like.
 type Brick struct {
 	Cores      int        `json:"cores"`
--- a/internal/emul/sim.go
+++ b/internal/emul/sim.go
@@ -90,6 +90,7 @@
 	settle int64 // when the last trouble ended
 	first  int64 // when the first began
 	stop   error
+	found  int64 // when what a host takes in after a stall had come; 0: now
 }
 
 type brickSim struct {
--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -162,7 +162,11 @@
 		x.from = began // the client is still sending: its wait has not begun
 	}
 	x.c.nc.SetReadDeadline(began.Add(config.MS(x.s.cfg.Timeouts.BodyStallMS)))
-	return x.c.body.Read(p)
+	n, err := x.c.body.Read(p)
+	if x.c.body.Done() {
+		x.whole()
+	}
+	return n, err
 }
 
 // Read reads and sums the body.
--- a/internal/front/s3/exchange.go
+++ b/internal/front/s3/exchange.go
@@ -16,6 +16,7 @@
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/front/s3/sigv4"
+	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/placement"
 	"arrowwalk/internal/spool"
@@ -41,6 +42,8 @@
 	status int
 	sent   int64
 	from   time.Time // when the client began to wait: the last byte of its request had come
+	tells  bool      // somebody waits for the answer on a socket
+	late   []*host.Task
 }
 
 // headerWait is how a client tells how many milliseconds it will wait for an
@@ -58,6 +61,34 @@
 	return &exchange{s: c.s, c: c, id: id, began: now, from: now}
 }
 
+// came returns when the last of what the client has sent came in, where all of
+// it was read at now. A host that stands still finds requests that lay in their
+// sockets meanwhile: after a stall, for as long as any client may still wait,
+// the kernel is asked how old they are. false: there was no stall.
+func (c *conn) came(now time.Time) (time.Time, bool) {
+	if c.s.opt.NoAge {
+		return now, false
+	}
+	return c.s.opt.Host.Came(c.raw, c.empty, now, c.s.longest)
+}
+
+// begin notes that the request's head was read: what is there of the request
+// may have lain in its socket.
+func (x *exchange) begin() {
+	x.tells = true
+	x.from, _ = x.c.came(x.began)
+}
+
+// whole notes that the request's body was read to its end.
+func (x *exchange) whole() {
+	if x.c.in.Buffered() > 0 { // what came last may be of the next request
+		return
+	}
+	if from, ok := x.c.came(time.Now()); ok {
+		x.from = from
+	}
+}
+
 // handle serves the request and gives its answer.
 func (x *exchange) handle() {
 	err := x.serve()
--- a/internal/front/s3/get.go
+++ b/internal/front/s3/get.go
@@ -393,7 +393,9 @@
 		return x.flush()
 	}
 	for _, p := range list {
-		x.renew()
+		if x.begun { // the client has taken what came before
+			x.renew()
+		}
 		if err := g.servePiece(p); err != nil {
 			if x.begun && !errors.Is(err, errGone) {
 				return errCut
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -38,6 +38,9 @@
 	Ended func(bucket string, plan, shard int, end host.End)
 	// Unready says why nothing can be served, or ""; nil: it always can.
 	Unready func() string
+	// NoAge takes what is found after a stall for fresh; for proofs that must
+	// fail.
+	NoAge bool
 	// AnyBrick lets any brick answer for another; for proofs that must fail.
 	AnyBrick bool
 }
@@ -68,6 +71,7 @@
 	janitor  *janitor
 	limits   http1.Limits
 	sequence atomic.Uint64
+	longest  time.Duration // that a client may wait
 	stats    counters
 
 	mu      sync.Mutex
@@ -115,7 +119,7 @@
 		opt.Now = time.Now
 	}
 	cfg := opt.Config
-	s := &Server{opt: opt, cfg: cfg, log: opt.Log, ln: ln, slots: slots, conns: map[*conn]struct{}{},
+	s := &Server{longest: config.MS(max(cfg.Classes.Read.DeadlineMS, cfg.Classes.Write.DeadlineMS)), opt: opt, cfg: cfg, log: opt.Log, ln: ln, slots: slots, conns: map[*conn]struct{}{},
 		quit: make(chan struct{}), sizes: sizing.NewEstimator(64 << 10),
 		verifier: sigv4.NewVerifier(cfg.Region, config.MS(cfg.Timeouts.SkewMS), opt.Keys),
 		limits:   http1.Limits{LineBytes: min(16<<10, cfg.Bounds.HeaderBytes), HeadBytes: cfg.Bounds.HeaderBytes, Fields: 200}}
@@ -267,6 +271,8 @@
 	req  http1.Request
 	body http1.Body
 
+	empty time.Time // the connection's socket was seen empty, or nearly so
+
 	mu      sync.Mutex
 	idle    bool
 	left    bool                     // the client has gone
@@ -307,6 +313,7 @@
 	if c.in != nil && c.in.Buffered() > 0 {
 		return !c.s.closing.Load()
 	}
+	c.empty = time.Now()
 	c.mu.Lock()
 	c.idle = true
 	c.nc.SetReadDeadline(time.Now().Add(config.MS(c.s.cfg.Timeouts.IdleMS)))
@@ -443,6 +450,7 @@
 
 // serveOne reads and answers one request; false: the connection ends.
 func (c *conn) serveOne() bool {
+	c.s.opt.Host.Alive()
 	heads := http1.NewReader(c.in, c.s.limits)
 	if err := heads.ReadRequest(&c.req); err != nil {
 		c.refuseHead(err)
@@ -451,7 +459,11 @@
 	c.s.stats.requests.Add(1)
 	c.body.Reset(c.in, c.req.Framing)
 	x := newExchange(c)
+	x.begin()
 	x.handle()
+	for _, t := range x.late {
+		c.s.opt.Host.Answered(t)
+	}
 	if x.close || c.req.Close || c.s.closing.Load() {
 		c.linger()
 		return false
--- a/internal/front/s3/task.go
+++ b/internal/front/s3/task.go
@@ -46,7 +46,7 @@
 	until := x.due(j.class)
 	j.x, j.number, j.aborted = x, -1, -1
 	j.task = host.Task{Class: j.class, Volume: x.volume, Units: j.units, Shard: j.shard, Until: until,
-		Again: x.again, Runner: j, Label: x.id}
+		Again: x.again, Runner: j, Label: x.id, Tells: x.tells}
 	if j.class == config.ClassWrite && j.call.Space == brick.SpaceObjects && x.s.cfg.Classes.Write.Ordered {
 		j.task.HasKey, j.task.Key = true, placement.Hash(j.call.Name)
 	}
@@ -55,6 +55,9 @@
 	}
 	v := x.s.opt.Host.Do(&j.task)
 	x.c.leave(&j.task)
+	if x.tells {
+		x.owes(&j.task)
+	}
 	if ended := x.s.opt.Ended; ended != nil {
 		ended(x.bucket, x.volume.Plan, j.shard, v.End)
 	}
@@ -76,6 +79,17 @@
 	return errInternal
 }
 
+// owes keeps a task until the client's answer is written, for a host that lets
+// answers go first after a stall. Several may end at once.
+func (x *exchange) owes(t *host.Task) {
+	if !t.Late() {
+		return
+	}
+	x.c.mu.Lock()
+	x.late = append(x.late, t)
+	x.c.mu.Unlock()
+}
+
 // Abort ends the attempt of that number (host.Runner).
 func (j *job) Abort(number int) {
 	j.mu.Lock()
@@ -121,10 +135,13 @@
 	}
 	pool, began := j.x.s.opt.Pool, time.Now()
 	err := pool.Do(&j.attempt, t.Member.Address, &call, &j.ans)
+	lay := time.Duration(0)
 	if err == nil {
+		lay = j.x.s.opt.Host.Lay(j.ans.Raw, began, j.x.s.longest)
 		err = j.taken(pool)
 	}
 	r := j.result(err)
+	r.Lay = lay
 	if seen := j.x.s.opt.Seen; seen != nil {
 		what := Seen{Brick: string(t.Member.ID), Reason: j.reason, Volume: call.Volume, Units: j.units, Latency: time.Since(began), Util: -1, Write: call.Method == "PUT"}
 		if err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,8 @@
 	// used, as long as one is left.
 	Tolerant bool
 	// DropGuard takes a guard out, so that a proof is seen to fail: "expect"
-	// believes a kept list and lets any brick answer for another.
+	// believes a kept list and lets any brick answer for another, "age" takes
+	// what is found after a stall for fresh.
 	DropGuard string
 	NoSync    bool             // embedded bricks do not wait for the disk; for tests of other things
 	Now       func() time.Time // wall clock for signatures; nil: time.Now
@@ -127,7 +128,7 @@
 		secrets[k.Access] = k.Secret
 	}
 	opt := s3.Options{Seen: g.seen, Ended: g.ended, Unready: g.unready, Config: cfg, Host: g.host, Pool: g.pool, Spool: g.spool, Keys: secrets, Log: g.opt.Log, Now: g.opt.Now,
-		AnyBrick: g.opt.DropGuard == "expect"}
+		AnyBrick: g.opt.DropGuard == "expect", NoAge: g.opt.DropGuard == "age"}
 	if g.front, err = s3.Start(ln, opt); err != nil {
 		return err
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arrowwalk"
+	"arrowwalk/internal/stall"
 )
 
 // Options of a Host.
@@ -33,6 +34,10 @@
 	quit   chan struct{}
 	timer  *time.Timer
 
+	still    *still
+	watched  sync.WaitGroup
+	catching bool // the owner steps a module that stood still
+
 	own   sync.Mutex    // who holds it owns loop
 	last  atomic.Uint64 // the last request number
 	stats counters
@@ -73,7 +78,10 @@
 	}
 	h.timer = time.NewTimer(0)
 	h.loop = loop{engine: engine, tasks: map[arrowwalk.RequestID]*Task{}, members: map[arrowwalk.NodeID]Member{}}
+	h.still = newStill(h.now())
+	h.watched.Add(1)
 	go h.run()
+	go h.watch()
 	return h, nil
 }
 
@@ -100,6 +108,7 @@
 	}
 	h.mu.Unlock()
 	<-h.done
+	h.watched.Wait()
 }
 
 // post hands messages to the module; false: the host has stopped. Where nobody
@@ -134,7 +143,7 @@
 		if !h.own.TryLock() {
 			return
 		}
-		h.step()
+		h.stepNow()
 		h.arm()
 		h.own.Unlock()
 	}
@@ -207,12 +216,19 @@
 			return Verdict{End: Gone, Tries: tries}
 		}
 		tries++
+		if int64(h.now())-h.still.ended.Load() < 2*stall.CatchUpMost {
+			h.await(t)
+		}
 		began := time.Now()
 		r := h.try(t, s)
 		h.stats.statuses[r.Status].Add(1)
+		if r.Status != arrowwalk.OK {
+			r.Lay = h.unseen(began)
+		}
+		latency := time.Since(began) - r.Lay
 		h.post(message{task: t, event: &arrowwalk.Outcome{
 			Attempt: arrowwalk.Attempt{Request: t.request.ID, Number: s.number, Node: s.member.ID},
-			Status:  r.Status, Latency: arrowwalk.Micros(time.Since(began).Microseconds()), Closed: r.Closed,
+			Status:  r.Status, Latency: arrowwalk.Micros(latency.Microseconds()), Closed: r.Closed,
 			FleetUse: r.FleetUse, OthersUnits: r.OthersUnits,
 		}})
 		if r.Closed {
@@ -255,7 +271,7 @@
 		}
 		h.own.Lock()
 		h.loop.armed = 0
-		h.step()
+		h.stepNow()
 		h.arm()
 		h.own.Unlock()
 		h.drive()
@@ -278,8 +294,8 @@
 		h.take(m)
 		l.events = append(l.events, m.event)
 	}
-	began := time.Now()
-	for _, a := range l.engine.Step(h.now(), l.events) {
+	began, now := time.Now(), h.now()
+	for _, a := range l.engine.Step(now, l.events) {
 		h.carryOut(a)
 	}
 	h.stats.step(time.Since(began), len(l.events))
@@ -358,6 +374,10 @@
 	if t == nil || t.over.Swap(true) {
 		return
 	}
+	if h.catching && t.Tells {
+		t.late.Store(true)
+		h.still.owe(t)
+	}
 	kind := signalFail
 	if a.Kind == arrowwalk.Refuse {
 		kind = signalRefuse
--- a/internal/host/stats.go
+++ b/internal/host/stats.go
@@ -38,6 +38,8 @@
 	Events   uint64
 	StepMean time.Duration
 	StepMost time.Duration
+	Stalls   uint64 // times that this process stood still
+	StallMax time.Duration
 }
 
 var statusNames = [statuses]string{
@@ -55,6 +57,7 @@
 	for i := range c.statuses {
 		s.Attempts[statusNames[i]] = c.statuses[i].Load()
 	}
+	s.Stalls, s.StallMax = h.Stalls()
 	if s.Steps > 0 {
 		s.StepMean = time.Duration(uint64(c.stepNS.Load()) / s.Steps)
 	}
--- /dev/null
+++ b/internal/host/still_test.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"arrowwalk"
+)
+
+// stand has the host do nothing for a span: neither its loop nor its beat goes
+// on, as where the process is stopped.
+func stand(h *Host, span time.Duration) {
+	h.own.Lock()
+	h.still.mu.Lock()
+	time.Sleep(span) // the stall itself
+	h.still.mu.Unlock()
+	h.own.Unlock()
+}
+
+// After a stall, what is overdue has its final word first, and nothing new is
+// begun before that word is written, for a bounded time.
+func TestAnswersFirstAfterAStall(t *testing.T) {
+	for _, written := range []bool{true, false} {
+		h, err := New(Options{Settings: settings()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Nodes(arrowwalk.ListFull, 1, []Member{{Node: arrowwalk.Node{ID: "a"}, Address: "x"}})
+		if _, ok := h.Stood(time.Minute); ok {
+			t.Error("a stall before there was one")
+		}
+		old := &Task{Volume: arrowwalk.Volume{ID: 1, Hosts: 1}, Units: 1, Until: time.Now().Add(50 * time.Millisecond), Tells: true,
+			Runner: &runner{block: make(chan struct{})}}
+		var wg sync.WaitGroup
+		wg.Add(1)
+		var answered, word time.Time
+		go func() {
+			defer wg.Done()
+			v := h.Do(old)
+			word = time.Now()
+			if v.End != Refused && v.End != Failed || !old.Late() {
+				t.Errorf("overdue: %+v, late %v", v, old.Late())
+			}
+			if written {
+				time.Sleep(5 * time.Millisecond) // writing takes its time
+				answered = time.Now()
+				h.Answered(old)
+			}
+		}()
+		for len(h.State().Running) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		began := time.Now()
+		stand(h, 600*time.Millisecond)
+		h.Alive()
+		passed := time.Now()
+		wg.Wait()
+		from, ok := h.Stood(time.Minute)
+		if !ok || from.After(began.Add(10*time.Millisecond)) || from.Before(began.Add(-100*time.Millisecond)) {
+			t.Errorf("stood: %v, %s after it did", ok, from.Sub(began))
+		}
+		if n, most := h.Stalls(); n == 0 || most < 600*time.Millisecond {
+			t.Errorf("%d stalls, the longest %s", n, most)
+		}
+		if written && passed.Before(answered) {
+			t.Errorf("the new went on %s before the old was written", answered.Sub(passed))
+		}
+		if wait := passed.Sub(word); !written && wait > 200*time.Millisecond {
+			t.Errorf("the new waited %s for a word that is never written", wait)
+		}
+		for len(h.State().Running) > 0 { // its attempt is called off
+			time.Sleep(time.Millisecond)
+		}
+		r := &runner{results: []Result{{Status: arrowwalk.OK, Closed: true}}}
+		if v := h.Do(&Task{Volume: arrowwalk.Volume{ID: 1, Hosts: 1}, Units: 1, Until: time.Now().Add(time.Second), Runner: r}); v.End != Served {
+			t.Errorf("after the stall: %+v", v)
+		}
+		h.Close()
+	}
+}
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -28,6 +28,7 @@
 	Closed      bool // the client has, or will have, its answer out of this attempt
 	FleetUse    float64
 	OthersUnits float64
+	Lay         time.Duration // how long the answer lay in its socket while the host stood still
 }
 
 // Runner makes the attempts of a task. Try is called on Do's goroutine, one at
@@ -51,15 +52,21 @@
 	Again   bool
 	Runner  Runner
 	Label   string // of the client's request, for those who watch
+	Tells   bool   // its front calls Answered when its final word is written
 	request arrowwalk.Request
 	signals chan signal
 	over    atomic.Bool // a final word was given; nothing more is sent
 	running int         // number of the attempt that is out, -1: none; the loop's
 	sent    int         // attempts so far; the loop's
+	late    atomic.Bool // its final word came after a stall
 	taken   time.Time
 	member  Member // of the last attempt; the loop's
 }
 
+// Late tells whether the task's final word came right after a stall of the
+// host: then Answered is to be called.
+func (t *Task) Late() bool { return t.late.Load() }
+
 // ID returns the module's number of the request, after Do took it.
 func (t *Task) ID() arrowwalk.RequestID { return t.request.ID }
 
--- a/internal/prove/badday.go
+++ b/internal/prove/badday.go
@@ -369,7 +369,7 @@
 		ResendFree: d.cfg.Rules.ResendFree, ResendRatio: d.cfg.Rules.ResendRatio, ResendSpan: micros(d.cfg.Rules.ResendSpanMS),
 		Limits: map[uint64]rules.Limit{placement.Hash("capped") >> 1: {Rate: 20, Burst: 20, Slack: 5}},
 	}
-	trace := &rules.Trace{Arrivals: d.site.Log(), Calls: d.log.Calls(), Told: d.told, Capacities: d.caps, Figures: f}
+	trace := &rules.Trace{Arrivals: d.site.Log(), Calls: d.log.Calls(), Told: d.told, Capacities: d.caps, Stills: stood(d.gateways), Figures: f}
 	r.Trace = trace
 	for _, v := range rules.Check(trace) {
 		r.add(v.Broken, "%s", v.String())
--- a/internal/prove/process.go
+++ b/internal/prove/process.go
@@ -17,6 +17,7 @@
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/front/s3/sigv4"
 	"arrowwalk/internal/gateway"
+	"arrowwalk/internal/rules"
 	"arrowwalk/internal/standin/clients"
 )
 
@@ -32,14 +33,14 @@
 	ended  chan error
 	target *clients.Target
 
-	mu   sync.Mutex
-	away []outage
+	mu     sync.Mutex
+	away   []outage
+	stills []rules.Still
 }
 
 // outage is a time in which requests to the gateway may get no answer.
 type outage struct {
 	from, to time.Time
-	stall    bool // it stood still, and went on
 }
 
 // settle is for how long around a stop or start a request may be lost on its
@@ -53,7 +54,7 @@
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
 		return nil, err
 	}
-	p.target = &clients.Target{Host: number, Stopping: p.stopping, Stalled: p.stalled,
+	p.target = &clients.Target{Host: number, Stopping: p.stopping,
 		Signer: sigv4.Signer{Access: cfg.Keys[0].Access, Secret: cfg.Keys[0].Secret, Region: cfg.Region}}
 	return p, p.start(ctx)
 }
@@ -139,30 +140,32 @@
 	return false
 }
 
-// stalled tells whether the gateway stood still at a time.
-func (p *process) stalled(at time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, o := range p.away {
-		if o.stall && at.After(o.from.Add(-settle)) && (o.to.IsZero() || at.Before(o.to.Add(settle))) {
-			return true
-		}
-	}
-	return false
-}
-
 // standStill stops the gateway's process where it is; goOn lets it go on.
 func (p *process) standStill() error {
-	p.begin()
 	p.mu.Lock()
-	p.away[len(p.away)-1].stall = true
+	p.stills = append(p.stills, rules.Still{Host: p.number, From: time.Now().UnixMicro()})
 	p.mu.Unlock()
 	return p.cmd.Process.Signal(syscall.SIGSTOP)
 }
 
 func (p *process) goOn() {
 	p.cmd.Process.Signal(syscall.SIGCONT)
-	p.end()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.stills); n > 0 && p.stills[n-1].To == 0 {
+		p.stills[n-1].To = time.Now().UnixMicro()
+	}
+}
+
+// stood returns when gateways stood still.
+func stood(hosts []*process) []rules.Still {
+	var all []rules.Still
+	for _, p := range hosts {
+		p.mu.Lock()
+		all = append(all, p.stills...)
+		p.mu.Unlock()
+	}
+	return all
 }
 
 // stop tells the gateway to stop and waits for it; it must exit with 0.
--- a/internal/prove/replay.go
+++ b/internal/prove/replay.go
@@ -617,7 +617,7 @@
 	f := rules.Figures{Slack: daySlack.Microseconds(), DrainGrace: micros(c.Rules.DrainGraceMS), ToldWithin: listTold.Microseconds(),
 		Window: micros(c.Classes.Write.WindowMS), ColdFrom: c.Rules.ColdFrom, WarmWithin: micros(c.Rules.WarmWithinMS), ColdMultiple: c.Rules.ColdMultiple,
 		ColdSpan: 1_000_000, ColdUnits: c.Rules.ColdUnits}
-	trace := &rules.Trace{Arrivals: r.site.Log(), Calls: r.log.Calls(), Told: r.told, Capacities: r.caps, Figures: f}
+	trace := &rules.Trace{Arrivals: r.site.Log(), Calls: r.log.Calls(), Told: r.told, Capacities: r.caps, Stills: stood(r.hosts), Figures: f}
 	out.Trace = trace
 	for _, v := range rules.Check(trace) {
 		out.add(v.Broken, "%s", v.String())
--- a/internal/prove/rings.go
+++ b/internal/prove/rings.go
@@ -87,7 +87,7 @@
 		c := *cfg
 		c.Host.Number = i
 		guard := ""
-		if i == 1 {
+		if opt.Guard == "age" && i == 0 || opt.Guard == "fence" && i == 1 {
 			guard = opt.Guard
 		}
 		h, err := startProcess(ctx, opt, dir, i, &c, guard)
@@ -583,7 +583,7 @@
 		OrderGap: micros(c.Rules.OrderGapMS), Ordered: true, ResendFree: c.Rules.ResendFree, ResendRatio: c.Rules.ResendRatio, ResendSpan: micros(c.Rules.ResendSpanMS),
 		ColdFrom: c.Rules.ColdFrom, WarmWithin: micros(c.Rules.WarmWithinMS), ColdMultiple: c.Rules.ColdMultiple,
 		ColdSpan: micros(c.Rules.ColdSpanMS), ColdUnits: c.Rules.ColdUnits}
-	trace := &rules.Trace{Arrivals: r.site.Log(), Calls: r.log.Calls(), Told: r.told, Capacities: r.caps, Figures: f}
+	trace := &rules.Trace{Arrivals: r.site.Log(), Calls: r.log.Calls(), Told: r.told, Capacities: r.caps, Stills: stood(r.hosts), Figures: f}
 	rep.Trace = trace
 	patches, late := 0, 0
 	for i := range trace.Arrivals {
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -69,6 +69,7 @@
 		v.fault("%s", b)
 	}
 	answered := map[string]Micros{}
+	over := map[string]Micros{} // when the clients' time was up, of answers that had not begun by then
 	for i := range s.Calls {
 		c := &s.Calls[i]
 		if c.Left || c.Sent == 0 {
@@ -81,21 +82,49 @@
 				v.fault("request %s is answered twice", c.ID)
 			}
 			answered[c.ID] = c.Ended
+			if up := c.Sent + c.Waits; c.Begun > up {
+				over[c.ID] = up
+			}
 		}
 	}
 	for i, a := range s.Arrivals {
 		if end, ok := answered[s.ids[i].run]; ok && a.At > end+s.Figures.Slack {
 			v.fault("request %s: sent to %s %d us after its answer", a.Request, a.Brick, a.At-end)
 		}
+		if up, ok := over[s.ids[i].run]; ok && a.At > up+s.Figures.Slack {
+			v.fault("request %s: sent to %s %d us after its client's time was up", a.Request, a.Brick, a.At-up)
+		}
 	}
 	return v
 }
 
+// due returns by when a call's host owes it an answer: before the client's time
+// is up, or, where the host stood still at that moment, when it goes on
+// (docs/stalls.md).
+func (s *sight) due(c *Call) Micros {
+	due := c.Sent + c.Waits
+	for _, st := range s.Stills {
+		if st.Host == c.Host && st.From <= due && st.To > due {
+			due = st.To
+		}
+	}
+	return due
+}
+
+// forsaken tells whether a client waited for its whole time and left while
+// its host stood still: nobody was there to answer.
+func (s *sight) forsaken(c *Call) bool {
+	return c.Ended >= c.Sent+c.Waits && slices.ContainsFunc(s.Stills, func(st Still) bool {
+		return st.Host == c.Host && st.From <= c.Ended && c.Ended <= st.To+s.Figures.Slack
+	})
+}
+
 func (s *sight) checkCall(c *Call, v *Verdict) {
 	name := fmt.Sprintf("%s of %s by %s to host %d", c.Method, c.Key, c.Client, c.Host)
-	due := c.Sent + c.Waits + s.Figures.Slack
+	due := s.due(c) + s.Figures.Slack
 	switch {
 	case c.Status == 0 && c.Stopping: // it may never have been taken
+	case c.Begun == 0 && s.forsaken(c):
 	case c.Status == 0 && c.Begun == 0:
 		v.fault("%s: no answer", name)
 	case c.Begun > due:
@@ -177,7 +206,7 @@
 			if t.Host != a.Host || t.Until != 0 && a.At > t.Until {
 				continue
 			}
-			if late := a.At - (t.At + s.Figures.ToldWithin + s.Figures.DrainGrace); late > 0 {
+			if late := a.At - (s.heard(&t) + s.Figures.DrainGrace); late > 0 {
 				v.fault("request %s: to %s, %s, %d us after the grace", a.Request, a.Brick, t.State, late)
 			}
 		}
@@ -185,6 +214,18 @@
 	return v
 }
 
+// heard returns by when a host has heard what it was told: one that stood
+// still, after that.
+func (s *sight) heard(t *Told) Micros {
+	at := t.At
+	for _, st := range s.Stills {
+		if st.Host == t.Host && st.From <= at+s.Figures.ToldWithin && st.To > at {
+			at = st.To
+		}
+	}
+	return at + s.Figures.ToldWithin
+}
+
 // coldSpared is rule 4: what all hosts send a cold brick within the span stays
 // under the multiple of what it can do, or under what it always bears.
 func (s *sight) coldSpared() Verdict {
--- a/internal/rules/check_test.go
+++ b/internal/rules/check_test.go
@@ -63,6 +63,37 @@
 			find(t, "0-r-3-3.0").Stored = false
 		}},
 		{"id that makes no sense", "one answer", func(t *Trace) { find(t, "0-r-52-52.0").Request = "x" }},
+		{"late though the host went on in time", "one answer", func(t *Trace) {
+			t.Calls[3].Begun = t.Calls[3].Sent + 3000*ms
+			t.Stills = []Still{{0, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 2400*ms}}
+		}},
+		{"late at once after a stall", "", func(t *Trace) {
+			t.Calls[3].Begun, t.Calls[3].Ended = t.Calls[3].Sent+5010*ms, t.Calls[3].Sent+5010*ms
+			t.Stills = []Still{{0, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 5000*ms}}
+		}},
+		{"late after a stall of another host", "one answer", func(t *Trace) {
+			t.Calls[3].Begun, t.Calls[3].Ended = t.Calls[3].Sent+5010*ms, t.Calls[3].Sent+5010*ms
+			t.Stills = []Still{{1, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 5000*ms}}
+		}},
+		{"later after a stall", "one answer", func(t *Trace) {
+			t.Calls[3].Begun, t.Calls[3].Ended = t.Calls[3].Sent+5030*ms, t.Calls[3].Sent+5030*ms
+			t.Stills = []Still{{0, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 5000*ms}}
+		}},
+		{"forsaken in a stall", "", func(t *Trace) {
+			t.Calls[3].Status, t.Calls[3].Begun, t.Calls[3].Ended = 0, 0, t.Calls[3].Sent+4000*ms
+			t.Stills = []Still{{0, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 5000*ms}}
+		}},
+		{"cut in a stall, before its time", "one answer", func(t *Trace) {
+			t.Calls[3].Status, t.Calls[3].Begun, t.Calls[3].Ended = 0, 0, t.Calls[3].Sent+400*ms
+			t.Stills = []Still{{0, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 5000*ms}}
+		}},
+		{"sent after a stall that outlasted the client", "one answer", func(t *Trace) {
+			t.Calls[3].Begun, t.Calls[3].Ended = t.Calls[3].Sent+5010*ms, t.Calls[3].Sent+5010*ms
+			t.Stills = []Still{{0, t.Calls[3].Sent - 10*ms, t.Calls[3].Sent + 5000*ms}}
+			a := find(t, "0-r-3-3.0")
+			a.At, a.Ended = t.Calls[3].Sent+5001*ms, t.Calls[3].Sent+5002*ms
+			a.Name = "alone"
+		}},
 		{"other zone", "no effect twice", func(t *Trace) { find(t, "0-r-50-50.1").Zone = "z2" }},
 		{"after the window", "no effect twice", func(t *Trace) { find(t, "0-r-50-50.0").At = 0 }},
 		{"stored twice", "no effect twice", func(t *Trace) { find(t, "0-r-50-50.1").Stored = true }},
--- a/internal/rules/log.go
+++ b/internal/rules/log.go
@@ -87,6 +87,13 @@
 	Until Micros // the state that follows; 0: the end
 }
 
+// Still is a span in which a host's process was stopped where it was, as the
+// script that stopped it knows.
+type Still struct {
+	Host     int
+	From, To Micros
+}
+
 // Capacity is what a brick can do when it is warm, known to the script alone.
 type Capacity struct {
 	Brick       string
@@ -122,5 +129,6 @@
 	Calls      []Call
 	Told       []Told
 	Capacities []Capacity
+	Stills     []Still
 	Figures    Figures
 }
--- /dev/null
+++ b/internal/stall/sockage/sockage_other.go
@@ -0,0 +1,13 @@
+//go:build !linux
+
+// Package sockage asks the kernel how long ago bytes last came in on a
+// connection.
+package sockage
+
+import (
+	"syscall"
+	"time"
+)
+
+// Age returns false: this system does not tell.
+func Age(syscall.RawConn) (time.Duration, bool) { return 0, false }
--- a/internal/standin/clients/client.go
+++ b/internal/standin/clients/client.go
@@ -48,9 +48,6 @@
 	// Stopping tells whether the gateway was told to stop, or killed, near a
 	// time; nil: never.
 	Stopping func(at time.Time) bool
-	// Stalled tells whether the gateway stood still at a time; a request sent
-	// then may have its answer late, counted from when it was sent. nil: never.
-	Stalled func(at time.Time) bool
 }
 
 // Request is one request and how the client behaves with it.
@@ -117,9 +114,6 @@
 	if a.Err != nil || a.Call.Left {
 		c.Close()
 	}
-	if c.Target.Stalled != nil && a.Call.Sent != 0 && c.Target.Stalled(time.UnixMicro(a.Call.Sent)) {
-		a.Call.Stopping = true // nobody was there to hear it
-	}
 	if c.Target.Stopping != nil && c.Target.Stopping(time.UnixMicro(max(a.Call.Sent, a.Call.Ended))) {
 		a.Call.Stopping = true
 	}
--- a/internal/volume/task.go
+++ b/internal/volume/task.go
@@ -115,8 +115,10 @@
 	if c.class == config.ClassWrite {
 		b.Key = c.id + "-" + strconv.FormatUint(uint64(t.Request), 10)
 	}
+	began, lay := time.Now(), time.Duration(0)
 	err := c.s.opt.Pool.Do(&c.attempt, t.Member.Address, &b, &c.ans)
 	if err == nil {
+		lay = c.s.opt.Host.Lay(c.ans.Raw, began, config.MS(c.s.opt.Config.Classes.Write.DeadlineMS))
 		err = c.taken()
 	}
 	if err != nil {
@@ -126,7 +128,7 @@
 		}
 		return host.Result{Status: arrowwalk.Cancelled}
 	}
-	r := host.Result{Status: arrowwalk.OK, Closed: true, OthersUnits: c.ans.Others}
+	r := host.Result{Status: arrowwalk.OK, Closed: true, OthersUnits: c.ans.Others, Lay: lay}
 	if plan := &c.s.opt.Config.Plans[c.plan]; c.ans.Fleet > 0 && plan.Rate > 0 {
 		r.FleetUse = 1 + 100*c.ans.Fleet/plan.Rate
 	}
