--- a/cmd/arrowwalk/bench.go
+++ b/cmd/arrowwalk/bench.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 
 	"arrowwalk/internal/bench"
 	"arrowwalk/internal/gateway"
+	"arrowwalk/internal/prove"
 )
 
 type benchCmd struct {
@@ -29,6 +31,8 @@
 	Idle     int           `default:"10000" help:"Idle connections whose memory is measured; 0: none."`
 	Profile  string        `type:"path" help:"File for a CPU profile of the gateway (pprof)."`
 	Rings    bool          `help:"Measure the second front in place of the first: rings, the object API and memory."`
+	Stalls   bool          `help:"Measure what follows a stall of the gateway, in place of all else."`
+	Held     int           `default:"1000" help:"With --stalls: requests that are held."`
 	Depths   []int         `default:"1,8,32,128" help:"With --rings: requests in flight."`
 	JSON     string        `name:"json" type:"path" help:"File for the result as JSON."`
 }
@@ -44,6 +48,10 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if b.Stalls {
+		m := &prove.Stalls{Spans: prove.DefaultStalls, Held: b.Held, Exec: []string{self}, Log: io.Discard, Print: g.out}
+		return m.Run(ctx)
+	}
 	res, err := bench.Run(ctx, bench.Options{Sizes: b.Sizes, Conns: b.Conns, Ops: b.Ops, Rounds: b.Rounds, Warm: b.Warm,
 		Measure: b.Measure, Consoles: b.Consoles, Idle: b.Idle, Profile: b.Profile, Exec: []string{self}, Log: os.Stderr})
 	if err != nil {
--- a/internal/brick/call.go
+++ b/internal/brick/call.go
@@ -125,6 +125,7 @@
 	Size     int64   // of the whole blob, where Status is 206 or 416; else Length
 	Body     *http1.Body
 	Raw      syscall.RawConn // of its connection; nil: it has none
+	Request  string          // that it answers, as the brick says; "": it does not
 
 	conn *conn
 	at   *Attempt
@@ -207,7 +208,7 @@
 
 // read fills a from a response's head.
 func (a *Answer) read(p *http1.Response) error {
-	*a = Answer{Status: p.Status, Util: -1, Length: p.Length, Size: p.Length, conn: a.conn, at: a.at}
+	*a = Answer{Status: p.Status, Util: -1, Length: p.Length, Size: p.Length, Raw: a.Raw, conn: a.conn, at: a.at}
 	for i := range p.Fields {
 		if err := a.take(p.Fields[i].Name, p.Fields[i].Value); err != nil {
 			return fmt.Errorf("header %s: %w", p.Fields[i].Name, err)
@@ -250,6 +251,8 @@
 		a.Draining = value == "draining"
 	case strings.EqualFold(name, HeaderBrick):
 		a.Brick = value
+	case strings.EqualFold(name, HeaderRequest):
+		a.Request = value
 	case strings.EqualFold(name, HeaderOthers):
 		a.Others, err = parseAmount(value)
 	case strings.EqualFold(name, HeaderFleet):
--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -190,6 +190,9 @@
 	if err := ans.read(&c.resp); err != nil {
 		return p.lose(at, c, &http1.Error{Status: 502, Reason: err.Error()})
 	}
+	if ans.Request != "" && ans.Request != call.Request { // a second answer to one before
+		return p.lose(at, c, &http1.Error{Status: 502, Reason: "the answer is to request " + ans.Request})
+	}
 	c.body.Reset(c.in, c.resp.Framing)
 	if call.Method == "HEAD" {
 		c.body.Reset(c.in, http1.Framing{})
--- a/internal/brick/pool_test.go
+++ b/internal/brick/pool_test.go
@@ -175,3 +175,27 @@
 		}
 	})
 }
+
+// An answer that a brick gave twice stays in the connection, and comes after
+// the look that the pool takes at it: it is not taken for the next one's.
+func TestAnswerToAnotherRequest(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAw-Brick: b@1\r\nAw-Request: 0-r-1-1.0\r\n\r\nok"
+	addr := answerWith(t, answer, false)
+	p := NewPool(PoolOptions{IdlePerBrick: 2, DialTimeout: time.Second})
+	defer p.Close()
+	var ans Answer
+	for _, c := range []struct {
+		request string
+		good    bool
+	}{{"0-r-1-1.0", true}, {"0-r-2-2.0", false}} {
+		var at Attempt
+		err := p.Do(&at, addr, &Call{Method: "GET", Space: "o", Name: "x", Request: c.request, Deadline: time.Now().Add(time.Second)}, &ans)
+		var f *Failure
+		if good := err == nil; good != c.good || !good && (!errors.As(err, &f) || f.Status != arrowwalk.Failed || f.Reason != ReasonBadAnswer) {
+			t.Errorf("request %s: %v", c.request, err)
+		}
+		if err == nil {
+			ans.Done(p, ans.Body.Drain(10))
+		}
+	}
+}
--- a/internal/brickd/reply.go
+++ b/internal/brickd/reply.go
@@ -84,6 +84,9 @@
 func (c *conn) head(r *reply, length int64) {
 	b := http1.AppendStatus(c.out[:0], r.status)
 	b = http1.AppendField(b, brick.HeaderBrick, c.s.name)
+	if c.request != "" { // an answer says to what, so that one too many is seen
+		b = http1.AppendField(b, brick.HeaderRequest, c.request)
+	}
 	b = c.s.appendLoad(b)
 	if c.s.drains.Load() {
 		b = http1.AppendField(b, brick.HeaderState, "draining")
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -146,6 +146,8 @@
 	out  []byte
 	req  http1.Request
 	body http1.Body
+
+	request string // the one being answered
 }
 
 // errCut ends a connection without a word.
@@ -297,6 +299,7 @@
 
 // exchange reads the protocol's fields of a request.
 func (c *conn) exchange() (*Exchange, error) {
+	c.request = ""
 	x := &Exchange{Brick: c.s.opt.ID, Zone: c.s.opt.Zone.Name, Started: c.s.started, At: time.Now(), Method: c.req.Method}
 	path, query, _ := strings.Cut(c.req.Target, "?")
 	path, ok := strings.CutPrefix(path, "/v1/")
@@ -320,6 +323,7 @@
 			return nil, err
 		}
 	}
+	c.request = x.Request
 	return x, nil
 }
 
--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -152,19 +152,35 @@
 // sent its last byte while more than that is still to be read.
 const onTheWay = 16 << 20
 
+// inFlight is how long bytes may be on their way from a client's own buffers,
+// once there is room for them, and for how long a body may go unread before
+// they count.
+const inFlight = 50 * time.Millisecond
+
+// awaySince notes for how long the body was not read: a client may have sent
+// all of it into buffers meanwhile, and an empty socket tells nothing then.
+func (x *exchange) awaySince(t time.Time) { x.away = x.away || time.Since(t) > inFlight }
+
 func (b clientBody) Read(p []byte) (int, error) {
 	x := b.x
 	if err := x.proceed(); err != nil {
 		return 0, err
 	}
 	began := time.Now()
-	if left := x.c.body.Remaining(); left < 0 || left > onTheWay || x.c.in.Buffered() == 0 && x.c.raw != nil && !brick.Readable(x.c.raw) {
+	left := x.c.body.Remaining()
+	empty := x.c.in.Buffered() == 0 && x.c.raw != nil && !brick.Readable(x.c.raw)
+	if left > onTheWay || (left < 0 || empty) && !x.away {
 		x.from = began // the client is still sending: its wait has not begun
 	}
 	x.c.nc.SetReadDeadline(began.Add(config.MS(x.s.cfg.Timeouts.BodyStallMS)))
 	n, err := x.c.body.Read(p)
-	if x.c.body.Done() {
-		x.whole()
+	waited := time.Since(began)
+	if from, ok := x.came(waited); ok { // the host stood still meanwhile
+		if from.After(x.from) {
+			x.from = from
+		}
+	} else if empty && x.away && waited > inFlight {
+		x.from = began
 	}
 	return n, err
 }
--- a/internal/front/s3/exchange.go
+++ b/internal/front/s3/exchange.go
@@ -42,6 +42,7 @@
 	status int
 	sent   int64
 	from   time.Time // when the client began to wait: the last byte of its request had come
+	away   bool      // the body was not read for long: its rest may lie in the client's own buffers
 	tells  bool      // somebody waits for the answer on a socket
 	late   []*host.Task
 }
@@ -61,30 +62,27 @@
 	return &exchange{s: c.s, c: c, id: id, began: now, from: now}
 }
 
-// came returns when the last of what the client has sent came in, where all of
-// it was read at now. A host that stands still finds requests that lay in their
-// sockets meanwhile: after a stall, for as long as any client may still wait,
-// the kernel is asked how old they are. false: there was no stall.
-func (c *conn) came(now time.Time) (time.Time, bool) {
-	if c.s.opt.NoAge {
-		return now, false
-	}
-	return c.s.opt.Host.Came(c.raw, c.empty, now, c.s.longest)
+// came tells since when the client may have waited, where a stall of this host
+// ended less than span ago: what is found then may have lain in its socket, and
+// the kernel is asked how old it is.
+func (x *exchange) came(span time.Duration) (time.Time, bool) {
+	if x.s.opt.NoAge {
+		return time.Time{}, false
+	}
+	rest := x.c.body.Remaining()
+	if rest > 0 {
+		rest = max(0, rest-int64(x.c.in.Buffered()))
+	}
+	from, ok := x.s.opt.Host.Came(x.c.raw, x.c.empty, rest, span)
+	x.away = x.away || ok && rest != 0
+	return from, ok
 }
 
 // begin notes that the request's head was read: what is there of the request
-// may have lain in its socket.
+// may have lain in its socket for as long as its client may wait.
 func (x *exchange) begin() {
 	x.tells = true
-	x.from, _ = x.c.came(x.began)
-}
-
-// whole notes that the request's body was read to its end.
-func (x *exchange) whole() {
-	if x.c.in.Buffered() > 0 { // what came last may be of the next request
-		return
-	}
-	if from, ok := x.c.came(time.Now()); ok {
+	if from, ok := x.came(x.s.longest); ok {
 		x.from = from
 	}
 }
--- a/internal/front/s3/put.go
+++ b/internal/front/s3/put.go
@@ -133,9 +133,11 @@
 			runs[0].Size += got
 			name := placement.Piece(base, index)
 			call := brick.Call{Space: brick.SpacePieces, Name: name, Body: body}
+			began := time.Now()
 			if _, err := x.store(call, x.home(name)); err != nil {
 				return runs, err
 			}
+			x.awaySince(began)
 			body.Release()
 		}
 		if last {
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -333,7 +333,7 @@
 	c.mu.Unlock()
 	if c.in == nil {
 		c.in = readers.Get().(*bufio.Reader)
-		c.in.Reset(c.nc)
+		c.in.Reset(patient{c})
 	}
 	return true
 }
@@ -382,6 +382,24 @@
 	return failed
 }
 
+// patient reads a connection. Where its time is up and bytes are there all the
+// same, nobody looked in time: a host that stood still, or a busy one, does not
+// take that for the client's silence.
+type patient struct{ c *conn }
+
+// lookAgain is for how long bytes that are there are waited for.
+const lookAgain = 50 * time.Millisecond
+
+// Read reads what has come.
+func (p patient) Read(b []byte) (int, error) {
+	n, err := p.c.nc.Read(b)
+	if n > 0 || !isTimeout(err) || p.c.raw == nil || p.c.s.closing.Load() || !brick.Readable(p.c.raw) {
+		return n, err
+	}
+	p.c.nc.SetReadDeadline(time.Now().Add(lookAgain))
+	return p.c.nc.Read(b)
+}
+
 // wakeIdle ends an idle connection's wait when the server closes.
 func (c *conn) wakeIdle() {
 	c.mu.Lock()
--- a/internal/host/still.go
+++ b/internal/host/still.go
@@ -220,28 +220,31 @@
 	return h.base.Add(time.Duration(at-h.wall) * time.Microsecond), true
 }
 
-// Came returns when bytes came in that were read at now on a connection which
-// was seen empty at a time: after a stall that is asked of the kernel, as they
-// may have lain there. Within span after a stall false is never returned.
-func (h *Host) Came(raw syscall.RawConn, empty, now time.Time, span time.Duration) (time.Time, bool) {
+// Came returns since when a client may have waited of whose request some was
+// read, and rest bytes are to be read on the connection, which was seen empty
+// at a time; rest -1: that is not known. It is told where the host stood still
+// and went on less than span ago; what was read may have lain there.
+func (h *Host) Came(raw syscall.RawConn, empty time.Time, rest int64, span time.Duration) (time.Time, bool) {
 	from, ok := h.Stood(span)
 	if !ok {
-		return now, false
+		return time.Time{}, false
 	}
+	unread, counted := sockage.Unread(raw)
 	age, told := sockage.Age(raw)
-	f := stall.Found{Now: h.micros(now), Empty: h.micros(empty), Age: age.Microseconds(), Told: told}
+	f := stall.Found{Now: h.micros(time.Now()), Empty: h.micros(empty), Age: age.Microseconds(), Told: told,
+		Part: rest < 0 || rest > 0 && (!counted || int64(unread) < rest)}
 	return h.base.Add(time.Duration(f.Came(h.micros(from))) * time.Microsecond), true
 }
 
 // Lay returns how long an attempt's answer, whose head was just read, lay in
 // its socket because the host stood still, where that was less than span ago.
 func (h *Host) Lay(raw syscall.RawConn, began time.Time, span time.Duration) time.Duration {
-	now := time.Now()
-	came, ok := h.Came(raw, began, now, span)
+	came, ok := h.Came(raw, began, 0, span)
 	if !ok {
 		return 0
 	}
-	return min(now.Sub(came), now.Sub(began))
+	now := time.Now()
+	return max(0, min(now.Sub(came), now.Sub(began)))
 }
 
 // unseen returns for how much of the time since began the host stood still:
--- a/internal/prove/badday.go
+++ b/internal/prove/badday.go
@@ -28,7 +28,7 @@
 	dayGateways = 3
 	dayBricks   = 6
 	dayBig      = 3<<20 + 11 // bytes of the object that is read in pieces
-	daySmall    = 24         // objects that are read
+	daySmall    = 60         // objects that are read
 	readWait    = 2500 * time.Millisecond
 	writeWait   = 6000 * time.Millisecond
 	verifyMost  = 30 * time.Second // for which refusals are tried again at the end
@@ -167,14 +167,7 @@
 
 func (d *day) close() {
 	for _, g := range d.gateways {
-		if g.cmd.ProcessState == nil {
-			g.goOn()
-			g.cmd.Process.Kill()
-			select {
-			case <-g.ended:
-			case <-time.After(time.Second):
-			}
-		}
+		g.endOutright()
 	}
 	d.site.Close()
 	d.log.Close()
@@ -262,7 +255,7 @@
 }
 
 // meetWithin is how much longer than drawn a fault may wait for a request.
-const meetWithin = 2 * time.Second
+const meetWithin = 3 * time.Second
 
 // faulty is a trouble in which a brick's script touches requests for a while. A
 // trouble that meets no request proves nothing.
--- a/internal/prove/console.go
+++ b/internal/prove/console.go
@@ -95,12 +95,7 @@
 	if e.host, err = startProcess(ctx, opt, dir, 0, cfg, opt.Guard); err != nil {
 		return nil, err
 	}
-	defer func() {
-		if e.host.cmd.ProcessState == nil {
-			e.host.cmd.Process.Kill()
-			<-e.host.ended
-		}
-	}()
+	defer func() { e.host.endOutright() }()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for i := range 12 {
--- a/internal/prove/nodiscovery.go
+++ b/internal/prove/nodiscovery.go
@@ -93,13 +93,7 @@
 
 func (n *quietNight) close() {
 	for _, h := range n.hosts {
-		if h.cmd.ProcessState == nil {
-			h.cmd.Process.Kill()
-			select {
-			case <-h.ended:
-			case <-time.After(time.Second):
-			}
-		}
+		h.endOutright()
 	}
 	for _, r := range n.regs {
 		r.Close()
--- a/internal/prove/replay.go
+++ b/internal/prove/replay.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"arrowwalk/internal/brickd"
@@ -143,11 +142,7 @@
 
 func (r *replay) closeAll() {
 	for _, h := range r.hosts {
-		if h.cmd.ProcessState == nil {
-			h.cmd.Process.Signal(syscall.SIGCONT)
-			h.cmd.Process.Kill()
-			<-h.ended
-		}
+		h.endOutright()
 	}
 	if r.site != nil {
 		r.site.Close()
--- a/internal/prove/rings.go
+++ b/internal/prove/rings.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -110,11 +109,7 @@
 		r.machine.Close()
 	}
 	for _, h := range r.hosts {
-		if h.cmd.ProcessState == nil {
-			h.cmd.Process.Signal(syscall.SIGCONT)
-			h.cmd.Process.Kill()
-			<-h.ended
-		}
+		h.endOutright()
 	}
 	r.site.Close()
 }
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -407,11 +407,23 @@
 		return
 	}
 	c.verdicts[resendsBudgeted].Checked++
-	b.resends.add(a.At, forget)
-	c.pending = append(c.pending, resend{a.At, run, a.Host, b.resends.after(a.At - f.ResendSpan)})
+	b.resends.insert(c.decided(a), forget)
+	c.pending = append(c.pending, resend{a.At, run, a.Host, b.resends.between(a.At-f.ResendSpan, a.At)})
 	c.judgeResends(a.At - callMost)
 }
 
+// decided returns the earliest time at which a host may have decided on what
+// arrived: some time before, and where it stood still in between, before that.
+func (c *Checker) decided(a *Arrival) Micros {
+	at := a.At - c.figures.Slack
+	for _, st := range c.told.Stills {
+		if st.Host == a.Host && st.From < a.At && st.To > at {
+			at = min(at, st.From)
+		}
+	}
+	return at
+}
+
 // callMost is longer than any call of a proof takes, microseconds.
 const callMost Micros = 30_000_000
 
@@ -423,17 +435,27 @@
 	}
 	if sent, ok := c.ran.get(call.ID); ok && call.ID != "" {
 		c.queue(call.Host, span{call.Sent, sent.first})
+		if call.Status != 503 && call.Status != 500 {
+			return
+		}
+		// What ended it may be one more request of the module, that was never sent.
+		c.took(call.Host, max(sent.ended, call.Sent))
 		return
 	}
 	if call.Status != 0 && call.Status != 503 && call.Status != 500 {
 		return
 	}
-	r := c.unsent[call.Host]
+	c.took(call.Host, call.Sent)
+}
+
+// took counts a request that a host took at a time and never sent.
+func (c *Checker) took(host int, at Micros) {
+	r := c.unsent[host]
 	if r == nil {
 		r = &recent{}
-		c.unsent[call.Host] = r
+		c.unsent[host] = r
 	}
-	r.insert(call.Sent, call.Sent-c.figures.ResendSpan-2*c.figures.Slack-2*callMost)
+	r.insert(at, at-c.figures.ResendSpan-2*c.figures.Slack-2*callMost)
 }
 
 // queue notes when a request may have waited at its host.
--- a/internal/stall/sockage/sockage_linux.go
+++ b/internal/stall/sockage/sockage_linux.go
@@ -26,3 +26,18 @@
 	})
 	return age, ok && err == nil
 }
+
+// Unread returns how many bytes lie in a TCP connection's receive buffer
+// (SIOCINQ, tcp(7)); false: the kernel does not tell.
+func Unread(raw syscall.RawConn) (int, bool) {
+	if raw == nil {
+		return 0, false
+	}
+	n, ok := 0, false
+	err := raw.Control(func(fd uintptr) {
+		var err error
+		n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		ok = err == nil
+	})
+	return n, ok && err == nil
+}
--- a/internal/stall/sockage/sockage_other.go
+++ b/internal/stall/sockage/sockage_other.go
@@ -11,3 +11,6 @@
 
 // Age returns false: this system does not tell.
 func Age(syscall.RawConn) (time.Duration, bool) { return 0, false }
+
+// Unread returns false: this system does not tell.
+func Unread(syscall.RawConn) (int, bool) { return 0, false }
--- a/internal/stall/sockage/sockage_test.go
+++ b/internal/stall/sockage/sockage_test.go
@@ -46,7 +46,12 @@
 		a.Write([]byte("x"))
 		after := time.Now()
 		var one [1]byte
+		for n := 0; n == 0; n, _ = Unread(raw) { // it is on its way
+		}
 		b.Read(one[:])
+		if n, ok := Unread(raw); n != 0 || !ok {
+			t.Errorf("%d bytes are left of one, %v", n, ok)
+		}
 		for time.Since(before) < 80*time.Millisecond { // the clock itself is what is tested
 			time.Sleep(5 * time.Millisecond)
 			low := time.Since(after) - tick
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -116,14 +116,16 @@
 	Empty int64 // the socket was last seen empty; 0: not known
 	Age   int64 // since bytes last came in, as the kernel tells
 	Told  bool  // the kernel tells it
+	Part  bool  // more of the request is to come: a full window may have held it back
 }
 
-// Since when the last byte of a request has lain there, for a process that
-// stood still from a time on. Where the kernel does not tell, the stall itself
-// is the bound: bytes may have come at its start, but not before the socket
-// was seen empty.
+// Came returns since when a client may have waited whose request was found by
+// a process that stood still from a time on. Where the kernel does not tell
+// when its last byte came in, or that byte may lie in the client's own buffers
+// since the process's were full, the stall itself is the bound: the client may
+// have sent all of it at its start, but not before the socket was seen empty.
 func (f *Found) Came(stillFrom int64) int64 {
-	if f.Told {
+	if f.Told && !f.Part {
 		return f.Now - max(0, f.Age)
 	}
 	return min(f.Now, max(f.Empty, stillFrom))
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -102,6 +102,7 @@
 		{"told", Found{Now: 1000, Age: 300, Told: true}, 100, 700},
 		{"told older than the stall", Found{Now: 1000, Age: 950, Told: true}, 100, 50},
 		{"told before now", Found{Now: 1000, Age: -4, Told: true}, 100, 1000},
+		{"told of a part", Found{Now: 1000, Age: 3, Told: true, Part: true, Empty: 200}, 100, 200},
 		{"not told", Found{Now: 1000}, 100, 100},
 		{"seen empty in the meantime", Found{Now: 1000, Empty: 600}, 100, 600},
 		{"seen empty before", Found{Now: 1000, Empty: 20}, 100, 100},
