--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -47,7 +49,20 @@
 	return good, out.String()
 }
 
-// The short form of each proof holds.
+// treeSeed is the seed that CI draws from the commit's tree; 0: none is given.
+func treeSeed(t *testing.T) int64 {
+	text := os.Getenv("ARROWWALK_SEED")
+	if text == "" {
+		return 0
+	}
+	seed, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatalf("ARROWWALK_SEED: %v", err)
+	}
+	return seed
+}
+
+// The short form of each proof holds, with seed 1 and with the tree's own.
 func TestProofs(t *testing.T) {
 	for _, p := range prove.All {
 		t.Run(p.Name, func(t *testing.T) {
@@ -58,6 +73,41 @@
 			}
 		})
 	}
+	seed := treeSeed(t)
+	if seed == 0 {
+		return
+	}
+	for _, p := range prove.All {
+		t.Run(fmt.Sprint(p.Name, "-", seed), func(t *testing.T) {
+			t.Parallel()
+			good, out := play(t, p.Name, func(o *prove.Options) { o.Seed = seed })
+			t.Log(out)
+			if !good {
+				t.Errorf("%s is broken with seed %d", p.Name, seed)
+			}
+		})
+	}
+}
+
+// Many seeds are played as processes; what breaks is told with its seed, and the
+// script that still breaks it is shortened.
+func TestManySeeds(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	m := &prove.Many{Proofs: []string{"rehearsal"}, Seeds: [2]int64{3, 4}, Short: true, Jobs: 2, Exec: []string{os.Args[0]}, Print: &out, Keep: t.TempDir()}
+	found, err := m.Play(context.Background())
+	if err != nil || len(found.Runs) != 2 || len(found.Broken) != 0 || found.Requests == 0 || !strings.Contains(out.String(), "| rehearsal | 2 |") {
+		t.Errorf("%v %+v\n%s", err, found, out.String())
+	}
+	m.Exec = []string{os.Args[0], "--no-such-flag"}
+	if found, err = m.Play(context.Background()); err != nil || len(found.Broken) != 2 || found.Broken[0].Error == "" {
+		t.Errorf("runs that cannot start: %v %+v", err, found)
+	}
+	for _, bad := range []string{"", "0-3", "5-4", "1-x", "-"} {
+		if _, err := prove.ParseSeeds(bad); err == nil {
+			t.Errorf("seeds %q are taken", bad)
+		}
+	}
 }
 
 // A gateway that is not told of drains breaks the rule, and the proof sees it.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -192,7 +192,7 @@
 	t.signals = make(chan signal, 4)
 	t.request = arrowwalk.Request{
 		ID: arrowwalk.RequestID(h.last.Add(1)), Class: t.Class, Volume: t.Volume, HasKey: t.HasKey, Key: t.Key,
-		Left: arrowwalk.Micros(time.Until(t.Until).Microseconds()), Units: t.Units, Shard: t.Shard, Again: t.Again,
+		Units: t.Units, Shard: t.Shard, Again: t.Again,
 	}
 	h.stats.taken.Add(1)
 	v := Verdict{End: Failed}
@@ -286,15 +286,15 @@
 	h.mu.Unlock()
 	l := &h.loop
 	l.events = l.events[:0]
+	began, now := time.Now(), h.now()
 	for _, m := range in {
 		if m.ask != nil {
 			m.ask(h.state())
 			continue
 		}
-		h.take(m)
+		h.take(m, now)
 		l.events = append(l.events, m.event)
 	}
-	began, now := time.Now(), h.now()
 	for _, a := range l.engine.Step(now, l.events) {
 		h.carryOut(a)
 	}
@@ -310,10 +310,12 @@
 }
 
 // take keeps the host's own account of an event.
-func (h *Host) take(m message) {
+func (h *Host) take(m message, now arrowwalk.Micros) {
 	l := &h.loop
 	switch e := m.event.(type) {
 	case *arrowwalk.Request:
+		// Left counts from this step: the host may have stood still since Do.
+		e.Left = arrowwalk.Micros(h.wall+h.micros(m.task.Until)) - now
 		l.tasks[e.ID] = m.task
 	case *arrowwalk.Outcome:
 		m.task.running = -1
--- a/internal/host/still.go
+++ b/internal/host/still.go
@@ -40,7 +40,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	was, ok := s.detect.Beat(int64(now))
-	s.limit.Store(s.detect.Limit())
 	if ok {
 		s.since = was
 		s.fresh.Store(true)
@@ -50,6 +49,7 @@
 			s.open = make(chan struct{})
 		}
 	}
+	s.limit.Store(s.detect.Limit()) // last: who sees the new limit sees the stall too
 	return was, ok
 }
 
