No attempt begins after its client's time; a full window hides a request's age

Change: whoever is about to send looks whether the host stood still, and whether the time is up; where more was found than a window surely holds, the stall's start is the bound.

--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -175,7 +175,7 @@
 	x.c.nc.SetReadDeadline(began.Add(config.MS(x.s.cfg.Timeouts.BodyStallMS)))
 	n, err := x.c.body.Read(p)
 	waited := time.Since(began)
-	if from, ok := x.came(waited); ok { // the host stood still meanwhile
+	if from, ok := x.came(n, waited); ok { // the host stood still meanwhile
 		if from.After(x.from) {
 			x.from = from
 		}
--- a/internal/front/s3/exchange.go
+++ b/internal/front/s3/exchange.go
@@ -64,8 +64,8 @@
 
 // came tells since when the client may have waited, where a stall of this host
 // ended less than span ago: what is found then may have lain in its socket, and
-// the kernel is asked how old it is.
-func (x *exchange) came(span time.Duration) (time.Time, bool) {
+// the kernel is asked how old it is. got is what was read just before.
+func (x *exchange) came(got int, span time.Duration) (time.Time, bool) {
 	if x.s.opt.NoAge {
 		return time.Time{}, false
 	}
@@ -73,7 +73,7 @@
 	if rest > 0 {
 		rest = max(0, rest-int64(x.c.in.Buffered()))
 	}
-	from, ok := x.s.opt.Host.Came(x.c.raw, x.c.empty, rest, span)
+	from, ok := x.s.opt.Host.Came(x.c.raw, x.c.empty, got+x.c.in.Buffered(), rest, span)
 	x.away = x.away || ok && rest != 0
 	return from, ok
 }
@@ -82,7 +82,7 @@
 // may have lain in its socket for as long as its client may wait.
 func (x *exchange) begin() {
 	x.tells = true
-	if from, ok := x.came(x.s.longest); ok {
+	if from, ok := x.came(0, x.s.longest); ok {
 		x.from = from
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"arrowwalk"
-	"arrowwalk/internal/stall"
 )
 
 // Options of a Host.
@@ -216,9 +215,7 @@
 			return Verdict{End: Gone, Tries: tries}
 		}
 		tries++
-		if int64(h.now())-h.still.ended.Load() < 2*stall.CatchUpMost {
-			h.await(t)
-		}
+		h.alive(t)
 		began := time.Now()
 		r := h.try(t, s)
 		h.stats.statuses[r.Status].Add(1)
@@ -239,7 +236,7 @@
 }
 
 func (h *Host) try(t *Task, s signal) Result {
-	if t.over.Load() { // the final word came before the attempt began
+	if t.over.Load() || !time.Now().Before(t.Until) { // the final word came before the attempt began, or comes now
 		return Result{Status: arrowwalk.Moot}
 	}
 	return t.Runner.Try(&Try{Request: t.request.ID, Number: s.number, Member: s.member, Until: t.Until})
--- a/internal/host/still.go
+++ b/internal/host/still.go
@@ -129,13 +129,16 @@
 // it ends a stall, the module is stepped first, so that what is overdue has its
 // final word, and the call waits until those words are out, for a bounded time.
 // On the usual way it is a clock and a load.
-func (h *Host) Alive() {
+func (h *Host) Alive() { h.alive(nil) }
+
+// alive is Alive for what is to be sent for t; nil: for what is to be read.
+func (h *Host) alive(t *Task) {
 	now := h.now()
 	if int64(now) > h.still.limit.Load() {
 		h.catchUp(now)
 	}
-	if int64(now)-h.still.ended.Load() < 2*stall.CatchUpMost {
-		h.await(nil)
+	if int64(h.now())-h.still.ended.Load() < 2*stall.CatchUpMost {
+		h.await(t)
 	}
 }
 
@@ -220,11 +223,16 @@
 	return h.base.Add(time.Duration(at-h.wall) * time.Microsecond), true
 }
 
-// Came returns since when a client may have waited of whose request some was
-// read, and rest bytes are to be read on the connection, which was seen empty
-// at a time; rest -1: that is not known. It is told where the host stood still
-// and went on less than span ago; what was read may have lain there.
-func (h *Host) Came(raw syscall.RawConn, empty time.Time, rest int64, span time.Duration) (time.Time, bool) {
+// windowLeast is what a connection's receive window has room for at any rate,
+// bytes: where more than that was found, the window may have been full, and
+// what came last may have come when room was made for it, just now.
+const windowLeast = 32 << 10
+
+// Came returns since when a client may have waited of whose request got bytes
+// were just read, and rest bytes are to be read on the connection, which was
+// seen empty at a time; rest -1: that is not known. It is told where the host
+// stood still and went on less than span ago; what was read may have lain there.
+func (h *Host) Came(raw syscall.RawConn, empty time.Time, got int, rest int64, span time.Duration) (time.Time, bool) {
 	from, ok := h.Stood(span)
 	if !ok {
 		return time.Time{}, false
@@ -232,14 +240,14 @@
 	unread, counted := sockage.Unread(raw)
 	age, told := sockage.Age(raw)
 	f := stall.Found{Now: h.micros(time.Now()), Empty: h.micros(empty), Age: age.Microseconds(), Told: told,
-		Part: rest < 0 || rest > 0 && (!counted || int64(unread) < rest)}
+		Part: rest < 0 || rest > 0 && (!counted || int64(unread) < rest) || got+unread > windowLeast}
 	return h.base.Add(time.Duration(f.Came(h.micros(from))) * time.Microsecond), true
 }
 
 // Lay returns how long an attempt's answer, whose head was just read, lay in
 // its socket because the host stood still, where that was less than span ago.
 func (h *Host) Lay(raw syscall.RawConn, began time.Time, span time.Duration) time.Duration {
-	came, ok := h.Came(raw, began, 0, span)
+	came, ok := h.Came(raw, began, 0, 0, span)
 	if !ok {
 		return 0
 	}
--- a/internal/prove/dayclients.go
+++ b/internal/prove/dayclients.go
@@ -32,7 +32,7 @@
 		many int
 		turn func(a *actor)
 	}{
-		{"reader", 4, (*actor).read}, {"writer", 3, (*actor).write}, {"sharer", 2, (*actor).writeShared},
+		{"reader", 4, (*actor).read}, {"writer", 3, (*actor).write}, {"sharer", 2, (*actor).writeShared}, {"hasty", 2, (*actor).writeHasty},
 		{"big", 1, (*actor).readBig}, {"capped", 2, (*actor).readCapped}, {"uploader", 1, (*actor).upload},
 		{"slow", 1, (*actor).readSlowly}, {"leaver", 2, (*actor).leave}, {"pauser", 1, (*actor).pause},
 	}
@@ -139,6 +139,14 @@
 	a.store(fmt.Sprintf("/theses/%s/%d", a.name, a.n), made{int64(a.n), 1 + a.rnd.Intn(40<<10)})
 }
 
+// writeHasty waits for a second only, so that writes go on beside a brick that
+// says nothing.
+func (a *actor) writeHasty() {
+	key, of := fmt.Sprintf("/theses/%s/%d", a.name, a.n), made{int64(a.n), 1 + a.rnd.Intn(4<<10)}
+	ans := a.c.Do(&clients.Request{Method: "PUT", Path: key, Body: of.bytes(), Wait: time.Second})
+	a.know(key, of, &ans)
+}
+
 // writeShared writes objects that others write through the same host too.
 func (a *actor) writeShared() {
 	key := fmt.Sprintf("/theses/shared/%d/%d", a.c.Target.Host, a.n%2)
