--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -166,6 +166,9 @@
 	if err := x.proceed(); err != nil {
 		return 0, err
 	}
+	if x.c.body.Done() { // an empty socket tells nothing of a client that has sent all
+		return x.c.body.Read(p)
+	}
 	began := time.Now()
 	left := x.c.body.Remaining()
 	empty := x.c.in.Buffered() == 0 && x.c.raw != nil && !brick.Readable(x.c.raw)
