Block volumes have their plan: what is said of records goes under a volume of its own

Records of volumes were read under the first plan and the volume's own name, and the module keeps the plan with which it first sees a volume: no block volume ever had its plan's reserve, weight or worth.

Change: records go under a volume of their own. The console's proof waits until what it drains has served something; with the reserve taken out prove reserves is seen to break.

--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// A volume whose plan reserves nothing is not served beside a flood, and the
+// proof sees it.
+func TestReservesSeesNoReserve(t *testing.T) {
+	t.Parallel()
+	good, out := play(t, "reserves", func(o *prove.Options) { o.Guard = "reserve" })
+	if good || !strings.Contains(out, "asked within the reserve was in time") {
+		t.Errorf("the proof did not see it:\n%s", out)
+	}
+}
+
 // A host that takes what it finds after a stall for fresh sends for clients
 // whose time was up, and the proof sees it.
 func TestRingsSeesNoAge(t *testing.T) {
--- a/internal/prove/console.go
+++ b/internal/prove/console.go
@@ -331,6 +331,9 @@
 	if err := t.Await(screenWait, "arrowwalk: bricks", "> alpha", "beta", "gamma"); err != nil {
 		return err
 	}
+	if err := e.awaitServed(ctx, "beta", 20); err != nil {
+		return err
+	}
 	if err := t.Type("j"); err != nil {
 		return err
 	}
@@ -355,6 +358,31 @@
 	return t.Await(screenWait, "draining", "draining and idle")
 }
 
+// awaitServed waits until a brick has served some requests: before, nobody
+// knows what lies there.
+func (e *evenings) awaitServed(ctx context.Context, brick string, most int) error {
+	for until := time.Now().Add(screenWait); ; {
+		n := 0
+		for a, err := range e.site.Log().Each(0) {
+			if err != nil {
+				return err
+			}
+			if a.Brick == brick && a.Status == 200 && a.Space == "o" {
+				n++
+			}
+		}
+		if n >= most {
+			return nil
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("brick %s served %d requests", brick, n)
+		}
+		if err := wait(ctx, 20*time.Millisecond); err != nil {
+			return err
+		}
+	}
+}
+
 // looks visits the other screens, and sizes.
 func (e *evenings) looks(t *terminal.Terminal) error {
 	for _, s := range []struct{ key, want string }{{"2", "theses"}, {"3", "age stage"}, {"4", "orders to drain beta"}, {"?", "any key closes this page"}, {"1", "arrowwalk:"}, {"1", "arrowwalk: bricks"}} {
--- a/internal/volume/volume.go
+++ b/internal/volume/volume.go
@@ -24,7 +24,13 @@
 // errChanged says that a record was written by another meanwhile.
 var errChanged = errors.New("the volume's record was changed by another at the same time")
 
-const recordPlan = 0 // records are read and written under the first plan
+// Records are read and written, and what is deleted goes, under the first plan
+// and a volume of their own: the module keeps the plan with which it first saw
+// a volume, and a disk's own requests must find theirs.
+const (
+	recordPlan   = 0
+	recordVolume = ""
+)
 
 func (s *Store) home(name string) int { return s.slots.Shard("volume/" + name) }
 
@@ -61,7 +67,7 @@
 // Find reads a volume's record, and the version that a change must meet.
 func (s *Store) Find(ctx context.Context, name string) (rec *extent.Record, version uint64, err error) {
 	err = again(ctx, retry.Read, func() (time.Duration, error) {
-		c := s.newCall(name, recordPlan, config.ClassRead, s.home(name), 0, brick.Call{Method: "GET", Space: brick.SpaceVolumes, Name: name})
+		c := s.newCall(recordVolume, recordPlan, config.ClassRead, s.home(name), 0, brick.Call{Method: "GET", Space: brick.SpaceVolumes, Name: name})
 		c.record = true
 		after, err := s.do(c, name)
 		if err != nil {
@@ -81,7 +87,7 @@
 func (s *Store) keep(ctx context.Context, rec *extent.Record, version uint64) error {
 	return again(ctx, retry.Write, func() (time.Duration, error) {
 		text := rec.Encode()
-		c := s.newCall(rec.Name, recordPlan, config.ClassWrite, s.home(rec.Name), int64(len(text)),
+		c := s.newCall(recordVolume, recordPlan, config.ClassWrite, s.home(rec.Name), int64(len(text)),
 			brick.Call{Method: "PUT", Space: brick.SpaceVolumes, Name: rec.Name, Body: brick.Bytes(text), IfVersion: version, IfAbsent: version == 0})
 		after, err := s.do(c, rec.Name)
 		if err == nil && c.ans.Status == 412 {
@@ -154,7 +160,7 @@
 		return err
 	}
 	return again(ctx, retry.Write, func() (time.Duration, error) {
-		c := s.newCall(name, recordPlan, config.ClassWrite, s.home(name), 0, brick.Call{Method: "DELETE", Space: brick.SpaceVolumes, Name: name})
+		c := s.newCall(recordVolume, recordPlan, config.ClassWrite, s.home(name), 0, brick.Call{Method: "DELETE", Space: brick.SpaceVolumes, Name: name})
 		return s.do(c, name)
 	})
 }
@@ -166,7 +172,7 @@
 	for {
 		var p brick.ListAnswer
 		err := again(ctx, retry.Read, func() (time.Duration, error) {
-			c := s.newCall(prefix, recordPlan, config.ClassRead, shard, 0, brick.Call{Method: "GET", Space: space, List: &brick.List{Prefix: prefix, After: after, Most: 100}})
+			c := s.newCall(recordVolume, recordPlan, config.ClassRead, shard, 0, brick.Call{Method: "GET", Space: space, List: &brick.List{Prefix: prefix, After: after, Most: 100}})
 			c.record = true
 			wait, err := s.do(c, prefix)
 			if err != nil {
@@ -201,7 +207,7 @@
 				continue
 			}
 			err := again(ctx, retry.Write, func() (time.Duration, error) {
-				return s.do(s.newCall(rec.Name, recordPlan, config.ClassWrite, shard, 0, brick.Call{Method: "DELETE", Space: brick.SpaceExtents, Name: name}), rec.Name)
+				return s.do(s.newCall(recordVolume, recordPlan, config.ClassWrite, shard, 0, brick.Call{Method: "DELETE", Space: brick.SpaceExtents, Name: name}), rec.Name)
 			})
 			if err != nil {
 				return err
