Attempts of both fronts are made in one place; what rings see of bricks is told

Cause: the rings' attempts were a near copy of the object API's, and lacked what that had: nobody was told what they showed of bricks (identity, drains said in answers, time-outs, a full disk), so that a site with block volumes alone learned of none.

Change: internal/attempts holds what a call to a brick is, for any front; the object API and the block volumes keep how they read answers.

--- a/internal/front/s3/get.go
+++ b/internal/front/s3/get.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"arrowwalk"
+	"arrowwalk/internal/attempts"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/placement"
@@ -117,14 +118,14 @@
 	x := g.x
 	name := placement.Object(x.bucket, x.key)
 	j := x.readJob(brick.SpaceObjects, name, x.home(name), g.expect())
-	j.call.Range = g.rng
+	j.Request.Range = g.rng
 	if _, ok, _ := parseRange(g.rng, 1<<62); !ok && g.rng != "" {
-		j.call.Range = "" // passed over
+		j.Request.Range = "" // passed over
 		g.rng = ""
 	}
-	j.take = g.take
+	j.Take = g.take
 	if g.head {
-		j.call.Method = "HEAD"
+		j.Request.Method = "HEAD"
 	}
 	if err := x.do(j); err != nil {
 		return err
@@ -165,7 +166,7 @@
 
 // take looks at the home's answer: it settles the status and reads or passes
 // on the body.
-func (g *reading) take(j *job, ans *brick.Answer) error {
+func (g *reading) take(j *attempts.Call, ans *brick.Answer) error {
 	g.refused, g.list, g.small = nil, nil, nil
 	switch ans.Status {
 	case 404:
@@ -283,7 +284,7 @@
 // pass sends length bytes of a brick's answer on to the client as they come.
 // A client that takes none for a while does not hold the brick: the rest is
 // kept, and sent after the attempt is over.
-func (g *reading) pass(j *job, ans *brick.Answer, length int64) error {
+func (g *reading) pass(j *attempts.Call, ans *brick.Answer, length int64) error {
 	x, pool := g.x, g.x.s.opt.Pool
 	buf := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buf)
@@ -296,9 +297,8 @@
 			return err
 		}
 		left -= int64(n)
-		if !j.began {
-			j.began = true
-			x.s.opt.Host.Stream(&j.task, j.number, j.node.ID)
+		if !j.Began {
+			j.Stream()
 			if !x.begun {
 				g.writeHead()
 				if err := x.write(x.c.out); err != nil {
@@ -410,10 +410,10 @@
 	x := g.x
 	j := x.readJob(brick.SpacePieces, p.name, x.home(p.name), p.length)
 	if p.length < p.size {
-		j.call.Range = fmt.Sprintf("bytes=%d-%d", p.from, p.from+p.length-1)
+		j.Request.Range = fmt.Sprintf("bytes=%d-%d", p.from, p.from+p.length-1)
 	}
 	lost := false
-	j.take = func(j *job, ans *brick.Answer) error {
+	j.Take = func(j *attempts.Call, ans *brick.Answer) error {
 		lost = ans.Status != 200 && ans.Status != 206
 		if lost {
 			g.discard(ans)
@@ -428,7 +428,7 @@
 		return err
 	}
 	if lost {
-		x.s.log.Error("piece missing", "request", x.id, "brick", string(j.node.ID), "status", j.ans.Status)
+		x.s.log.Error("piece missing", "request", x.id, "brick", string(j.Node.ID), "status", j.Answer.Status)
 		return errInternal
 	}
 	if g.rest != nil {
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"arrowwalk/internal/attempts"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/front/s3/sigv4"
@@ -34,7 +35,7 @@
 	Now    func() time.Time // wall clock for signatures; nil: time.Now
 	// Seen is told what attempts showed of bricks, and Ended how tasks of
 	// collections ended; nil: nobody is.
-	Seen  func(Seen)
+	Seen  func(attempts.Seen)
 	Ended func(bucket string, plan, shard int, end host.End)
 	// Unready says why nothing can be served, or ""; nil: it always can.
 	Unready func() string
@@ -45,19 +46,6 @@
 	AnyBrick bool
 }
 
-// Seen is what an attempt showed of a brick.
-type Seen struct {
-	Brick    string
-	Identity string       // who answered (brick.HeaderBrick); "": nobody did
-	Reason   brick.Reason // why the attempt failed; "": it did not
-	Volume   uint64
-	Units    float64
-	Latency  time.Duration
-	Util     float64 // that the brick told; -1: none
-	Draining bool    // the brick asks for nothing new
-	Write    bool
-}
-
 // Server is the object API on one listener.
 type Server struct {
 	opt      Options
@@ -71,6 +59,7 @@
 	janitor  *janitor
 	limits   http1.Limits
 	sequence atomic.Uint64
+	sender   attempts.Sender
 	longest  time.Duration // that a client may wait
 	stats    counters
 
@@ -119,10 +108,12 @@
 		opt.Now = time.Now
 	}
 	cfg := opt.Config
-	s := &Server{longest: config.MS(max(cfg.Classes.Read.DeadlineMS, cfg.Classes.Write.DeadlineMS)), opt: opt, cfg: cfg, log: opt.Log, ln: ln, slots: slots, conns: map[*conn]struct{}{},
+	s := &Server{opt: opt, cfg: cfg, log: opt.Log, ln: ln, slots: slots, conns: map[*conn]struct{}{},
 		quit: make(chan struct{}), sizes: sizing.NewEstimator(64 << 10),
 		verifier: sigv4.NewVerifier(cfg.Region, config.MS(cfg.Timeouts.SkewMS), opt.Keys),
 		limits:   http1.Limits{LineBytes: min(16<<10, cfg.Bounds.HeaderBytes), HeadBytes: cfg.Bounds.HeaderBytes, Fields: 200}}
+	s.sender = attempts.Sender{Pool: opt.Pool, Host: opt.Host, Config: cfg, Seen: opt.Seen, AnyBrick: opt.AnyBrick}
+	s.longest = s.sender.Longest()
 	s.buckets.init(cfg)
 	s.janitor = startJanitor(s)
 	s.wg.Add(2)
--- a/internal/front/s3/task.go
+++ b/internal/front/s3/task.go
@@ -3,38 +3,24 @@
 import (
 	"encoding/json"
 	"errors"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"arrowwalk"
+	"arrowwalk/internal/attempts"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/placement"
 )
 
-// job is one request of the module: a call to a brick, made as often as the
-// module says.
+// job is one request of the module for an exchange.
 type job struct {
-	x      *exchange
-	class  int
-	shard  int
-	units  float64
-	call   brick.Call
-	take   func(j *job, ans *brick.Answer) error // reads the answer's body; nil: nothing is wanted of it
-	ans    brick.Answer                          // head of the answer that counted
-	began  bool                                  // the client's answer begins in take
-	reason brick.Reason                          // of the last attempt that failed
-
-	task    host.Task
-	attempt brick.Attempt
-	node    host.Member
-	mu      sync.Mutex
-	number  int // of the attempt that runs
-	aborted int // attempts up to this number are aborted
+	attempts.Call
+	class int
+	shard int
+	units float64
 }
 
 // errTake ends an attempt whose answer had begun to go to the client.
@@ -43,30 +29,29 @@
 // do runs j on the host. nil means that a brick answered; its status may still
 // be a refusal of what was asked, as 404. Else it is the error to answer with.
 func (x *exchange) do(j *job) error {
-	until := x.due(j.class)
-	j.x, j.number, j.aborted = x, -1, -1
-	j.task = host.Task{Class: j.class, Volume: x.volume, Units: j.units, Shard: j.shard, Until: until,
-		Again: x.again, Runner: j, Label: x.id, Tells: x.tells}
-	if j.class == config.ClassWrite && j.call.Space == brick.SpaceObjects && x.s.cfg.Classes.Write.Ordered {
-		j.task.HasKey, j.task.Key = true, placement.Hash(j.call.Name)
+	j.ID = x.id
+	j.Task = host.Task{Class: j.class, Volume: x.volume, Units: j.units, Shard: j.shard, Until: x.due(j.class), Again: x.again, Tells: x.tells}
+	if j.class == config.ClassWrite && j.Request.Space == brick.SpaceObjects && x.s.cfg.Classes.Write.Ordered {
+		j.Task.HasKey, j.Task.Key = true, placement.Hash(j.Request.Name)
 	}
-	if !x.c.enter(&j.task) {
+	j.Ready(&x.s.sender)
+	if !x.c.enter(&j.Task) {
 		return errGone
 	}
-	v := x.s.opt.Host.Do(&j.task)
-	x.c.leave(&j.task)
+	v := j.Do()
+	x.c.leave(&j.Task)
 	if x.tells {
-		x.owes(&j.task)
+		x.owes(&j.Task)
 	}
 	if ended := x.s.opt.Ended; ended != nil {
 		ended(x.bucket, x.volume.Plan, j.shard, v.End)
 	}
 	switch v.End {
 	case host.Served:
-		if j.ans.Status == 507 {
+		if j.Answer.Status == 507 {
 			return errDiskFull
 		}
-		if j.began && j.reason != "" {
+		if j.Began && j.Reason != "" {
 			return errCut
 		}
 		return nil
@@ -75,7 +60,7 @@
 	case host.Gone:
 		return errGone
 	}
-	x.s.log.Warn("request failed", "request", x.id, "task", j.task.ID(), "tries", v.Tries, "last", string(j.reason))
+	x.s.log.Warn("request failed", "request", x.id, "task", j.Task.ID(), "tries", v.Tries, "last", string(j.Reason))
 	return errInternal
 }
 
@@ -90,120 +75,22 @@
 	x.c.mu.Unlock()
 }
 
-// Abort ends the attempt of that number (host.Runner).
-func (j *job) Abort(number int) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.aborted = max(j.aborted, number)
-	if j.number == number {
-		j.attempt.Abort()
-	}
-}
-
-// start readies j for an attempt; false: it was aborted before it began.
-func (j *job) start(number int) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.aborted >= number {
-		return false
-	}
-	j.number = number
-	j.attempt.Reset()
-	return true
-}
-
-// Try makes an attempt (host.Runner).
-func (j *job) Try(t *host.Try) host.Result {
-	if !j.start(t.Number) {
-		return host.Result{Status: arrowwalk.Moot}
-	}
-	if t.Member.Address == "" {
-		j.reason = brick.ReasonUnknownBrick
-		return host.Result{Status: arrowwalk.Moot}
-	}
-	j.node = t.Member
-	call := j.call
-	id := j.x.id + "-" + strconv.FormatUint(uint64(t.Request), 10)
-	call.Request = id + "." + strconv.Itoa(t.Number)
-	call.Host, call.Volume, call.Units = j.x.s.cfg.Host.Number, uint64(j.x.volume.ID), j.units
-	call.Deadline, call.Expect = t.Until, string(t.Member.ID)
-	if j.class == config.ClassWrite {
-		call.Key = id
-	}
-	if j.x.s.opt.AnyBrick {
-		call.Expect = ""
-	}
-	pool, began := j.x.s.opt.Pool, time.Now()
-	err := pool.Do(&j.attempt, t.Member.Address, &call, &j.ans)
-	lay := time.Duration(0)
-	if err == nil {
-		lay = j.x.s.opt.Host.Lay(j.ans.Raw, began, j.x.s.longest)
-		err = j.taken(pool)
-	}
-	r := j.result(err)
-	r.Lay = lay
-	if seen := j.x.s.opt.Seen; seen != nil {
-		what := Seen{Brick: string(t.Member.ID), Reason: j.reason, Volume: call.Volume, Units: j.units, Latency: time.Since(began), Util: -1, Write: call.Method == "PUT"}
-		if err == nil {
-			what.Identity, what.Util, what.Draining = j.ans.Brick, j.ans.Util, j.ans.Draining
-			if j.ans.Status == 507 {
-				what.Reason = brick.ReasonDiskFull
-			}
-		}
-		seen(what)
-	}
-	return r
-}
-
-// taken reads the answer's body and gives the connection back.
-func (j *job) taken(pool *brick.Pool) error {
-	if j.take == nil {
-		j.ans.Done(pool, j.ans.Body.Drain(16<<10))
-		return nil
-	}
-	err := j.take(j, &j.ans)
-	j.ans.Done(pool, err == nil)
-	return err
-}
-
-// result tells the module how the attempt ended.
-func (j *job) result(err error) host.Result {
-	r := host.Result{Status: arrowwalk.OK, Closed: true}
-	if err != nil {
-		r.Closed = j.began // an answer that has begun cannot be begun again
-		var f *brick.Failure
-		if errors.As(err, &f) {
-			r.Status, j.reason = f.Status, f.Reason
-		} else {
-			r.Status, j.reason = arrowwalk.Cancelled, brick.ReasonClient
-		}
-		return r
-	}
-	j.reason = ""
-	plan := &j.x.s.cfg.Plans[j.x.volume.Plan]
-	if j.ans.Fleet > 0 && plan.Rate > 0 {
-		r.FleetUse = 1 + 100*j.ans.Fleet/plan.Rate
-	}
-	r.OthersUnits = j.ans.Others
-	return r
-}
-
 // home returns the shard of a name.
 func (x *exchange) home(name string) int { return x.s.slots.Shard(name) }
 
 // readJob returns a job that reads a blob.
 func (x *exchange) readJob(space, name string, shard int, size int64) *job {
 	return &job{class: config.ClassRead, shard: shard, units: x.s.cfg.UnitsFor(size),
-		call: brick.Call{Method: "GET", Space: space, Name: name}}
+		Call: attempts.Call{Request: brick.Call{Method: "GET", Space: space, Name: name}}}
 }
 
 // fetch reads a small blob whole. ok is false where there is none.
 func (x *exchange) fetch(space, name string, shard int, body bool) (ans brick.Answer, text []byte, ok bool, err error) {
 	j := x.readJob(space, name, shard, 0)
 	if !body {
-		j.call.Method = "HEAD"
+		j.Request.Method = "HEAD"
 	} else {
-		j.take = func(j *job, ans *brick.Answer) error {
+		j.Take = func(_ *attempts.Call, ans *brick.Answer) error {
 			var err error
 			text, err = ans.ReadAll(x.s.opt.Pool, nil, manifestMost)
 			return err
@@ -212,18 +99,18 @@
 	if err := x.do(j); err != nil {
 		return ans, nil, false, err
 	}
-	switch j.ans.Status {
+	switch j.Answer.Status {
 	case 200:
-		return j.ans, text, true, nil
+		return j.Answer, text, true, nil
 	case 404:
-		return j.ans, nil, false, nil
+		return j.Answer, nil, false, nil
 	}
 	return ans, nil, false, x.unexpected(j)
 }
 
 func (x *exchange) unexpected(j *job) error {
-	x.s.log.Error("unexpected answer from a brick", "request", x.id, "brick", string(j.node.ID),
-		"method", j.call.Method, "space", j.call.Space, "status", j.ans.Status)
+	x.s.log.Error("unexpected answer from a brick", "request", x.id, "brick", string(j.Node.ID),
+		"method", j.Request.Method, "space", j.Request.Space, "status", j.Answer.Status)
 	return errInternal
 }
 
@@ -234,31 +121,31 @@
 	if call.Body != nil {
 		size = call.Body.Len()
 	}
-	j := &job{class: config.ClassWrite, shard: shard, units: x.s.cfg.UnitsFor(size), call: call}
+	j := &job{class: config.ClassWrite, shard: shard, units: x.s.cfg.UnitsFor(size), Call: attempts.Call{Request: call}}
 	if err := x.do(j); err != nil {
 		return brick.Answer{}, err
 	}
-	switch j.ans.Status {
+	switch j.Answer.Status {
 	case 200:
-		return j.ans, nil
+		return j.Answer, nil
 	case 412:
-		return j.ans, errPrecondition
+		return j.Answer, errPrecondition
 	}
-	return j.ans, x.unexpected(j)
+	return j.Answer, x.unexpected(j)
 }
 
 // remove deletes a blob; ok is false where there was none.
 func (x *exchange) remove(space, name string, shard int, version uint64) (ans brick.Answer, ok bool, err error) {
 	j := &job{class: config.ClassWrite, shard: shard, units: x.s.cfg.UnitsFor(0),
-		call: brick.Call{Method: "DELETE", Space: space, Name: name, IfVersion: version}}
+		Call: attempts.Call{Request: brick.Call{Method: "DELETE", Space: space, Name: name, IfVersion: version}}}
 	if err := x.do(j); err != nil {
 		return ans, false, err
 	}
-	switch j.ans.Status {
+	switch j.Answer.Status {
 	case 204, 404:
-		return j.ans, j.ans.Status == 204, nil
+		return j.Answer, j.Answer.Status == 204, nil
 	case 412:
-		return j.ans, false, errPrecondition
+		return j.Answer, false, errPrecondition
 	}
 	return ans, false, x.unexpected(j)
 }
@@ -271,8 +158,8 @@
 	answer := &brick.ListAnswer{}
 	j := x.readJob(space, "", shard, int64(list.Most)*100)
 	j.units = min(j.units, x.s.cfg.MostUnits())
-	j.call.List = &list
-	j.take = func(_ *job, ans *brick.Answer) error {
+	j.Request.List = &list
+	j.Take = func(_ *attempts.Call, ans *brick.Answer) error {
 		text, err := ans.ReadAll(x.s.opt.Pool, nil, listMost)
 		if err != nil {
 			return err
@@ -289,7 +176,7 @@
 	if err := x.do(j); err != nil {
 		return nil, err
 	}
-	if j.ans.Status != 200 {
+	if j.Answer.Status != 200 {
 		return nil, x.unexpected(j)
 	}
 	return answer, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"arrowwalk/internal/attempts"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/brickd"
 	"arrowwalk/internal/config"
@@ -272,7 +273,7 @@
 }
 
 // seen passes on what an attempt showed.
-func (g *Gateway) seen(s s3.Seen) {
+func (g *Gateway) seen(s attempts.Seen) {
 	full := s.Reason == brick.ReasonDiskFull
 	turned := g.desk.Meters.Attempt(meters.Attempt{Brick: s.Brick, Volume: s.Volume, Units: s.Units, Latency: s.Latency,
 		OK: s.Reason == "", Reason: string(s.Reason), Util: s.Util, Write: s.Write, Full: full}, time.Now())
--- a/internal/volume/task.go
+++ b/internal/volume/task.go
@@ -9,11 +9,11 @@
 	"io"
 	"log/slog"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"arrowwalk"
+	"arrowwalk/internal/attempts"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/host"
@@ -26,6 +26,8 @@
 	Host   *host.Host
 	Pool   *brick.Pool
 	Log    *slog.Logger
+	// Seen is told what attempts showed of bricks; may be nil.
+	Seen func(attempts.Seen)
 	// Ended is told how each task of a volume ended; may be nil.
 	Ended func(volume string, plan, shard int, end host.End)
 	// NoFence takes a guard out, so that a proof is seen to fail: bricks are
@@ -36,6 +38,7 @@
 // Store finds, makes and attaches volumes.
 type Store struct {
 	opt      Options
+	sender   attempts.Sender
 	slots    *placement.Map
 	sequence atomic.Uint64
 }
@@ -49,7 +52,7 @@
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Store{opt: opt, slots: slots}, nil
+	return &Store{opt: opt, slots: slots, sender: attempts.Sender{Pool: opt.Pool, Host: opt.Host, Config: opt.Config, Seen: opt.Seen}}, nil
 }
 
 // ErrIO says that a request has failed for good: for a write, it may have run.
@@ -63,124 +66,57 @@
 
 // call is one request of the module for a volume.
 type call struct {
-	s      *Store
-	class  int
-	call   brick.Call
-	id     string
-	into   [][]byte // of a read: where the body goes; the rest is zeroed
-	text   []byte   // of a read of a record
-	record bool
-	ans    brick.Answer
-	units  float64
-	plan   int
-	node   host.Member
-
-	task    host.Task
-	attempt brick.Attempt
-	mu      sync.Mutex
-	number  int
-	aborted int
+	attempts.Call
+	into [][]byte // of a read: where the body goes; the rest is zeroed
+	text []byte   // of a read of a record
 }
 
-// Abort ends the attempt of that number (host.Runner).
-func (c *call) Abort(number int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.aborted = max(c.aborted, number)
-	if c.number == number {
-		c.attempt.Abort()
-	}
-}
+const recordMost = 64 << 10
 
-func (c *call) start(number int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.aborted >= number {
-		return false
+// takeRecord reads the answer's body as text.
+func (c *call) takeRecord(s *Store) func(*attempts.Call, *brick.Answer) error {
+	return func(_ *attempts.Call, ans *brick.Answer) (err error) {
+		c.text, err = ans.ReadAll(s.opt.Pool, c.text[:0], recordMost)
+		return err
 	}
-	c.number = number
-	c.attempt.Reset()
-	return true
 }
 
-// Try makes an attempt (host.Runner).
-func (c *call) Try(t *host.Try) host.Result {
-	if !c.start(t.Number) || t.Member.Address == "" {
-		return host.Result{Status: arrowwalk.Moot}
-	}
-	b := c.call
-	b.Request = c.id + "-" + strconv.FormatUint(uint64(t.Request), 10) + "." + strconv.Itoa(t.Number)
-	b.Host, b.Volume, b.Units = c.s.opt.Config.Host.Number, uint64(c.task.Volume.ID), c.units
-	b.Deadline, b.Expect = t.Until, string(t.Member.ID)
-	if c.class == config.ClassWrite {
-		b.Key = c.id + "-" + strconv.FormatUint(uint64(t.Request), 10)
-	}
-	began, lay := time.Now(), time.Duration(0)
-	err := c.s.opt.Pool.Do(&c.attempt, t.Member.Address, &b, &c.ans)
-	if err == nil {
-		lay = c.s.opt.Host.Lay(c.ans.Raw, began, config.MS(c.s.opt.Config.Classes.Write.DeadlineMS))
-		err = c.taken()
-	}
-	if err != nil {
-		var f *brick.Failure
-		if errors.As(err, &f) {
-			return host.Result{Status: f.Status}
+// takeInto reads the answer's body straight to where it belongs.
+func (c *call) takeInto(s *Store) func(*attempts.Call, *brick.Answer) error {
+	return func(_ *attempts.Call, ans *brick.Answer) error {
+		pool := s.opt.Pool
+		if ans.Status != 200 && ans.Status != 206 {
+			ans.Done(pool, ans.Body.Drain(16<<10))
+			return nil
 		}
-		return host.Result{Status: arrowwalk.Cancelled}
-	}
-	r := host.Result{Status: arrowwalk.OK, Closed: true, OthersUnits: c.ans.Others, Lay: lay}
-	if plan := &c.s.opt.Config.Plans[c.plan]; c.ans.Fleet > 0 && plan.Rate > 0 {
-		r.FleetUse = 1 + 100*c.ans.Fleet/plan.Rate
-	}
-	return r
-}
-
-const recordMost = 64 << 10
-
-// taken reads the answer's body straight to where it belongs.
-func (c *call) taken() error {
-	pool := c.s.opt.Pool
-	switch {
-	case c.record:
-		var err error
-		c.text, err = c.ans.ReadAll(pool, c.text[:0], recordMost)
-		return err
-	case c.into == nil || c.ans.Status != 200 && c.ans.Status != 206:
-		c.ans.Done(pool, c.ans.Body.Drain(16<<10))
-		return nil
-	}
-	left := c.ans.Length
-	for _, b := range c.into {
-		for len(b) > 0 && left > 0 {
-			n, err := c.ans.Read(pool, b[:min(int64(len(b)), left)])
-			left -= int64(n)
-			b = b[n:]
-			if err != nil && (left > 0 || !errors.Is(err, io.EOF)) {
-				c.ans.Done(pool, false)
-				return &brick.Failure{Status: arrowwalk.Failed, Reason: brick.ReasonShort, Err: err}
+		left := ans.Length
+		for _, b := range c.into {
+			for len(b) > 0 && left > 0 {
+				n, err := ans.Read(pool, b[:min(int64(len(b)), left)])
+				left -= int64(n)
+				b = b[n:]
+				if err != nil && (left > 0 || !errors.Is(err, io.EOF)) {
+					return &brick.Failure{Status: arrowwalk.Failed, Reason: brick.ReasonShort, Err: err}
+				}
 			}
+			clear(b)
 		}
-		clear(b)
-	}
-	c.ans.Done(pool, c.ans.Body.Drain(16<<10) && left == 0)
-	if left > 0 {
-		return &brick.Failure{Status: arrowwalk.Failed, Reason: brick.ReasonBadAnswer, Err: errors.New("more bytes than were asked for")}
+		ans.Done(pool, ans.Body.Drain(16<<10) && left == 0)
+		if left > 0 {
+			return &brick.Failure{Status: arrowwalk.Failed, Reason: brick.ReasonBadAnswer, Err: errors.New("more bytes than were asked for")}
+		}
+		return nil
 	}
-	return nil
 }
 
 // newCall readies a call of a volume.
 func (s *Store) newCall(volume string, plan, class, shard int, bytes int64, b brick.Call) *call {
 	c := &call{} // the host may still hold a task after its verdict: none is used twice
-	ms := s.opt.Config.Classes.Read.DeadlineMS
-	if class == config.ClassWrite {
-		ms = s.opt.Config.Classes.Write.DeadlineMS
-	}
-	c.s, c.class, c.call, c.plan, c.units = s, class, b, plan, s.opt.Config.UnitsFor(bytes)
-	c.id = s.opt.Host.Label() + "-v" + strconv.FormatUint(s.sequence.Add(1), 10)
-	c.number, c.aborted, c.into, c.record = -1, -1, nil, false
-	c.task = host.Task{Class: class, Units: c.units, Shard: shard, Until: time.Now().Add(config.MS(ms)), Runner: c, Label: c.id,
+	c.ID = s.opt.Host.Label() + "-v" + strconv.FormatUint(s.sequence.Add(1), 10)
+	c.Request = b
+	c.Task = host.Task{Class: class, Units: s.opt.Config.UnitsFor(bytes), Shard: shard, Until: time.Now().Add(s.sender.Deadline(class)),
 		Volume: arrowwalk.Volume{ID: ID(volume), Plan: plan, Hosts: s.opt.Config.Host.Count}}
+	c.Ready(&s.sender)
 	return c
 }
 
@@ -191,13 +127,13 @@
 
 // do has the module decide on a call. nil means that a brick answered.
 func (s *Store) do(c *call, volume string) (after time.Duration, err error) {
-	v := s.opt.Host.Do(&c.task)
+	v := c.Do()
 	if s.opt.Ended != nil {
-		s.opt.Ended(volume, c.plan, c.task.Shard, v.End)
+		s.opt.Ended(volume, c.Task.Volume.Plan, c.Task.Shard, v.End)
 	}
 	switch v.End {
 	case host.Served:
-		if c.ans.Status == 409 {
+		if c.Answer.Status == 409 {
 			return 0, ErrFenced
 		}
 		return 0, nil
--- a/internal/volume/volume.go
+++ b/internal/volume/volume.go
@@ -68,16 +68,16 @@
 func (s *Store) Find(ctx context.Context, name string) (rec *extent.Record, version uint64, err error) {
 	err = again(ctx, retry.Read, func() (time.Duration, error) {
 		c := s.newCall(recordVolume, recordPlan, config.ClassRead, s.home(name), 0, brick.Call{Method: "GET", Space: brick.SpaceVolumes, Name: name})
-		c.record = true
+		c.Take = c.takeRecord(s)
 		after, err := s.do(c, name)
 		if err != nil {
 			return after, err
 		}
-		if c.ans.Status == 404 {
+		if c.Answer.Status == 404 {
 			return 0, fmt.Errorf("volume %s: %w", name, ErrNotFound)
 		}
 		rec, err = extent.Decode(c.text)
-		version = c.ans.Version
+		version = c.Answer.Version
 		return 0, err
 	})
 	return rec, version, err
@@ -90,10 +90,10 @@
 		c := s.newCall(recordVolume, recordPlan, config.ClassWrite, s.home(rec.Name), int64(len(text)),
 			brick.Call{Method: "PUT", Space: brick.SpaceVolumes, Name: rec.Name, Body: brick.Bytes(text), IfVersion: version, IfAbsent: version == 0})
 		after, err := s.do(c, rec.Name)
-		if err == nil && c.ans.Status == 412 {
+		if err == nil && c.Answer.Status == 412 {
 			err = fmt.Errorf("volume %s: %w", rec.Name, errChanged)
 		}
-		if err == nil && c.ans.Status == 507 {
+		if err == nil && c.Answer.Status == 507 {
 			err = fmt.Errorf("volume %s: its brick has no room", rec.Name)
 		}
 		return after, err
@@ -173,7 +173,7 @@
 		var p brick.ListAnswer
 		err := again(ctx, retry.Read, func() (time.Duration, error) {
 			c := s.newCall(recordVolume, recordPlan, config.ClassRead, shard, 0, brick.Call{Method: "GET", Space: space, List: &brick.List{Prefix: prefix, After: after, Most: 100}})
-			c.record = true
+			c.Take = c.takeRecord(s)
 			wait, err := s.do(c, prefix)
 			if err != nil {
 				return wait, err
@@ -316,8 +316,8 @@
 		}
 		c := v.s.newCall(v.rec.Name, v.plan, config.ClassWrite, shard, 0, brick.Call{Method: "PUT", Space: brick.SpaceFences, Name: v.rec.Name, Epoch: v.rec.Epoch, Body: brick.Bytes(nil)})
 		_, err := v.s.do(c, v.rec.Name)
-		if err == nil && c.ans.Status != 200 {
-			err = fmt.Errorf("%w: fence: status %d", ErrIO, c.ans.Status)
+		if err == nil && c.Answer.Status != 200 {
+			err = fmt.Errorf("%w: fence: status %d", ErrIO, c.Answer.Status)
 		}
 		if err != nil {
 			v.mu.Lock()
@@ -396,12 +396,13 @@
 		c := v.s.newCall(v.rec.Name, v.plan, config.ClassRead, shard, p.Bytes,
 			brick.Call{Method: "GET", Space: brick.SpaceExtents, Name: name, Epoch: v.rec.Epoch, Range: fmt.Sprintf("bytes=%d-%d", p.Offset, p.Offset+p.Bytes-1)})
 		c.into = into
+		c.Take = c.takeInto(v.s)
 		after, err := v.s.do(c, v.rec.Name)
 		v.note(err)
 		if err != nil {
 			return after, err
 		}
-		status := c.ans.Status
+		status := c.Answer.Status
 		switch status {
 		case 200, 206:
 			return 0, nil
@@ -460,7 +461,7 @@
 		if err != nil {
 			return after, err
 		}
-		status := c.ans.Status
+		status := c.Answer.Status
 		if status != 200 {
 			return 0, fmt.Errorf("%w: status %d", ErrIO, status)
 		}
