prove stalls: overdue requests are answered first, and what was held does not push bricks

Cause: that answers go first after a stall, and that catching up does not push bricks, was built and measured but claimed nowhere.

Change: a proof with a gateway that stands still while 100 to 300 requests (500 to 1,000 in the long form) come into its sockets; seen to break without the true age. Runs that are ended from outside do not count.

--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// The same guard taken out of a host with many requests held is seen.
+func TestStallsSeesNoAge(t *testing.T) {
+	t.Parallel()
+	good, out := play(t, "stalls", func(o *prove.Options) { o.Guard = "age" })
+	if good || !strings.Contains(out, "after its client's time was up") {
+		t.Errorf("the proof did not see it:\n%s", out)
+	}
+}
+
 // A host that takes what it finds after a stall for fresh sends for clients
 // whose time was up, and the proof sees it.
 func TestRingsSeesNoAge(t *testing.T) {
--- a/internal/prove/many.go
+++ b/internal/prove/many.go
@@ -82,9 +82,12 @@
 			defer wg.Done()
 			for j := range jobs {
 				s := m.run(ctx, j.proof, j.seed, nil, true)
+				if ctx.Err() != nil { // it was ended, which shows nothing
+					continue
+				}
 				mu.Lock()
 				out.take(s)
-				if m.Tell != nil && ctx.Err() == nil {
+				if m.Tell != nil {
 					m.Tell(len(out.Runs), all, len(out.Broken), s)
 				}
 				mu.Unlock()
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -79,6 +79,7 @@
 	{"no-discovery", "Four hosts start without discovery on fresh, day-old, damaged and no lists; then it returns.", noDiscovery},
 	{"console", "An operator at a pseudo-terminal drains a brick under load; the terminal dies, the gateway is killed.", consoleProof},
 	{"rehearsal", "A day plays twice in virtual time to the same hash; a small one goes through real gateways beside it.", rehearsal},
+	{"stalls", "A gateway stands still with requests held: what is overdue is answered first, bricks are not pushed.", stallsProof},
 	{"reserves", "One front floods the bricks; a volume on the other, inside its reserve, is served in time.", reservesProof},
 	{"rings", "A virtual machine on a block volume and object clients at once: faults, crashes, a stall, a theft of the volume.", ringsProof},
 }
