A chunked upload's client counts as sending while more passes than buffers hold

Cause: after a piece took over 50 ms to store, a chunked body whose reads never wait would have kept the time of its last proof, and a long upload would have run out of it.

--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -185,9 +185,25 @@
 	} else if empty && x.away && waited > inFlight {
 		x.from = began
 	}
+	x.passed(int64(n), began)
 	return n, err
 }
 
+// passed counts what was read of a body. More than can lie in buffers has
+// passed since the mark: the client was still sending then.
+func (x *exchange) passed(n int64, now time.Time) {
+	if x.mark.IsZero() {
+		x.mark = now
+	}
+	if x.sinceMark += n; x.sinceMark <= onTheWay {
+		return
+	}
+	if x.mark.After(x.from) {
+		x.from = x.mark
+	}
+	x.mark, x.sinceMark = now, 0
+}
+
 // Read reads and sums the body.
 func (u *upload) Read(p []byte) (int, error) {
 	n, err := u.in.Read(p)
--- a/internal/front/s3/exchange.go
+++ b/internal/front/s3/exchange.go
@@ -43,8 +43,11 @@
 	sent   int64
 	from   time.Time // when the client began to wait: the last byte of its request had come
 	away   bool      // the body was not read for long: its rest may lie in the client's own buffers
+	mark   time.Time // since then sinceMark bytes of the body were read
 	tells  bool      // somebody waits for the answer on a socket
 	late   []*host.Task
+
+	sinceMark int64
 }
 
 // headerWait is how a client tells how many milliseconds it will wait for an
