An answer that comes while a stall's final words are decided is not waited for

Change: an answer that closes a task ends it at once; what is owed is said before the task is over, and taken back where an answer was first.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -218,6 +218,9 @@
 		h.alive(t)
 		began := time.Now()
 		r := h.try(t, s)
+		if r.Closed {
+			t.over.Store(true)
+		}
 		h.stats.statuses[r.Status].Add(1)
 		if r.Status != arrowwalk.OK {
 			r.Lay = h.unseen(began)
@@ -370,12 +373,19 @@
 // final passes on the module's one final answer.
 func (h *Host) final(a arrowwalk.Action) {
 	t := h.loop.tasks[a.Request]
-	if t == nil || t.over.Swap(true) {
+	if t == nil || t.over.Load() {
 		return
 	}
-	if h.catching && t.Tells {
-		t.late.Store(true)
+	owed := h.catching && t.Tells
+	if owed { // before it is over: who sees that sees this too
 		h.still.owe(t)
+		t.late.Store(true)
+	}
+	if t.over.Swap(true) { // an answer came meanwhile
+		if owed {
+			h.still.paid(t)
+		}
+		return
 	}
 	kind := signalFail
 	if a.Kind == arrowwalk.Refuse {
--- a/internal/host/still.go
+++ b/internal/host/still.go
@@ -189,19 +189,29 @@
 	}
 }
 
-// await waits until what is new may go on; t is passed through where it has
-// its final word already.
+// lookEvery is how often a task that waits for others' words looks for its own.
+const lookEvery = time.Millisecond
+
+// await waits until what is new may go on; t does not wait once it has its own
+// final word, which may be among those that are waited for.
 func (h *Host) await(t *Task) {
-	open, most := h.still.gate(h.now())
-	if open == nil || t != nil && t.over.Load() {
-		return
-	}
-	timer := time.NewTimer(most)
+	timer := time.NewTimer(0)
 	defer timer.Stop()
-	select {
-	case <-open:
-	case <-timer.C:
-	case <-h.quit:
+	for {
+		open, most := h.still.gate(h.now())
+		if open == nil || t != nil && t.over.Load() {
+			return
+		}
+		if t != nil {
+			most = min(most, lookEvery)
+		}
+		timer.Reset(most)
+		select {
+		case <-open:
+		case <-timer.C:
+		case <-h.quit:
+			return
+		}
 	}
 }
 
