--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -66,6 +66,7 @@
 func TestProofs(t *testing.T) {
 	for _, p := range prove.All {
 		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
 			good, out := play(t, p.Name, nil)
 			t.Log(out)
 			if !good || strings.Count(out, ", 0 broken") < 7 && p.Name == "bad-day" {
@@ -80,6 +81,7 @@
 	for i := range int64(2) { // all of them would take CI over its few minutes
 		p := prove.All[(seed+i)%int64(len(prove.All))]
 		t.Run(fmt.Sprint(p.Name, "-", seed), func(t *testing.T) {
+			t.Parallel()
 			good, out := play(t, p.Name, func(o *prove.Options) { o.Seed = seed })
 			t.Log(out)
 			if !good {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -38,7 +38,8 @@
 
 const (
 	connsMost = 128
-	writeFor  = 2 * time.Second // a watcher that takes nothing for so long is cut off
+	writeFor  = 10 * time.Second // a watcher that takes nothing for so long is cut off
+	writePart = 64 << 10         // what is written with one look at the clock, bytes
 	shotEvery = 500 * time.Millisecond
 )
 
@@ -190,9 +191,23 @@
 	}
 }
 
-func (s *Server) write(c net.Conn, v any) error {
-	c.SetWriteDeadline(time.Now().Add(writeFor))
-	return writeFrame(c, v)
+func (s *Server) write(c net.Conn, v any) error { return writeFrame(patient{c}, v) }
+
+// patient writes to a peer that may be slow: it is given up when it takes
+// nothing for writeFor, however long the whole takes.
+type patient struct{ net.Conn }
+
+func (p patient) Write(text []byte) (int, error) {
+	done := 0
+	for done < len(text) {
+		p.SetWriteDeadline(time.Now().Add(writeFor))
+		n, err := p.Conn.Write(text[done:min(done+writePart, len(text))])
+		done += n
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return done, err
+		}
+	}
+	return done, nil
 }
 
 func (s *Server) answer(q *Request, uid uint32) *Response {
