A host that had just gone on could miss its stall: the limit is read first

Stood read the stall's end, then the limit; a beat in between stored the end and then the limit, so that it saw neither. It reads the limit first now: who sees the new limit sees the stall that made it.

A brick's answer is over when its last part is about to be written, not when the write returns.

--- a/internal/brickd/patch.go
+++ b/internal/brickd/patch.go
@@ -176,11 +176,11 @@
 	mu := &c.s.fences.patch[crc32.ChecksumIEEE([]byte(x.Name))%patchStripes]
 	mu.Lock()
 	defer mu.Unlock()
-	return c.change(x, o, int64(offset), body, c.req.Fields.Get(brick.HeaderTruncate) == "1")
+	return c.rewrite(x, o, int64(offset), body, c.req.Fields.Get(brick.HeaderTruncate) == "1")
 }
 
-// change writes the extent anew with a part changed.
-func (c *conn) change(x *Exchange, o order, offset int64, part []byte, truncate bool) *reply {
+// rewrite writes the extent anew with a part changed.
+func (c *conn) rewrite(x *Exchange, o order, offset int64, part []byte, truncate bool) *reply {
 	blob, err := c.s.dir.Get(x.Space, x.Name)
 	whole := part
 	switch {
--- a/internal/brickd/reply.go
+++ b/internal/brickd/reply.go
@@ -154,7 +154,7 @@
 		c.out = append(c.out, text...)
 	}
 	c.nc.SetWriteDeadline(time.Now().Add(c.s.opt.Idle))
-	if _, err := c.nc.Write(c.out); err != nil {
+	if err := c.write(c.out); err != nil {
 		return err
 	}
 	if r.cut {
@@ -192,8 +192,7 @@
 	if x.Method == "HEAD" {
 		c.head(r, r.length)
 		c.nc.SetWriteDeadline(time.Now().Add(c.s.opt.Idle))
-		_, err := c.nc.Write(c.out)
-		return err
+		return c.write(c.out)
 	}
 	length := r.length - min(f.Short, r.length)
 	if f.CutAfter > 0 {
@@ -235,7 +234,7 @@
 	c.nc.SetWriteDeadline(time.Now().Add(c.s.opt.Idle))
 	first = first[:min(int64(len(first)), length)]
 	c.out = append(c.out, first...)
-	if _, err := c.nc.Write(c.out); err != nil {
+	if err := c.write(c.out); err != nil {
 		return err
 	}
 	for at := int64(len(first)); at < length; {
@@ -245,7 +244,7 @@
 			return errCut
 		}
 		part = part[:min(int64(len(part)), length-at)]
-		if _, err := c.nc.Write(part); err != nil {
+		if err := c.write(part); err != nil {
 			return err
 		}
 		at += int64(len(part))
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -151,6 +151,14 @@
 
 	request string // the one being answered
 	raw     syscall.RawConn
+	wrote   time.Time // when the last part of the answer was about to be written
+}
+
+// write writes to the peer, who may have it before this returns.
+func (c *conn) write(b []byte) error {
+	c.wrote = time.Now()
+	_, err := c.nc.Write(b)
+	return err
 }
 
 // errCut ends a connection without a word.
@@ -188,6 +196,7 @@
 	Zone     string
 	Started  int64 // of the brick
 	At       time.Time
+	Came     time.Time // it may have come so early: this process may have stood still
 	Method   string
 	Space    string
 	Name     string
@@ -239,8 +248,11 @@
 	var f Fault
 	if c.s.opt.Hook != nil {
 		f = c.s.opt.Hook.Arrived(x)
+		c.wrote = time.Time{}
 		defer func() {
-			x.Answered = time.Now()
+			if x.Answered = c.wrote; x.Answered.IsZero() {
+				x.Answered = time.Now()
+			}
 			c.s.opt.Hook.Answered(x)
 		}()
 	}
@@ -301,13 +313,13 @@
 	return errCut
 }
 
-// came returns when a request came. Where a Hook keeps a log, that is when its
-// bytes came to the machine, not when this process found time to look: whoever
-// judges by the log must not blame a host for a brick that stood still.
-func (c *conn) came() time.Time {
-	now := time.Now()
+// came returns the earliest time at which a request may have come. Who judges
+// by a Hook's log must not blame a host for a brick that stood still: the kernel
+// knows when bytes last came, though on a machine that stood still itself its
+// word may be a tenth of a second too early.
+func (c *conn) came() (t time.Time) {
 	if c.s.opt.Hook == nil {
-		return now
+		return t
 	}
 	if c.raw == nil {
 		if sc, ok := c.nc.(syscall.Conn); ok {
@@ -315,15 +327,15 @@
 		}
 	}
 	if age, ok := sockage.Age(c.raw); ok && age >= sockage.Coarse {
-		return now.Add(-age)
+		t = time.Now().Add(-age)
 	}
-	return now
+	return t
 }
 
 // exchange reads the protocol's fields of a request.
 func (c *conn) exchange() (*Exchange, error) {
 	c.request = ""
-	x := &Exchange{Brick: c.s.opt.ID, Zone: c.s.opt.Zone.Name, Started: c.s.started, At: c.came(), Method: c.req.Method}
+	x := &Exchange{Brick: c.s.opt.ID, Zone: c.s.opt.Zone.Name, Started: c.s.started, At: time.Now(), Came: c.came(), Method: c.req.Method}
 	path, query, _ := strings.Cut(c.req.Target, "?")
 	path, ok := strings.CutPrefix(path, "/v1/")
 	if !ok {
@@ -426,14 +438,14 @@
 		return c.get(x)
 	case x.Method == "PUT" || x.Method == "DELETE" || x.Method == "PATCH":
 		if x.Key == "" {
-			return c.write(x)
+			return c.change(x)
 		}
-		return c.s.opt.Zone.once(x.Key, func() *reply { return c.write(x) })
+		return c.s.opt.Zone.once(x.Key, func() *reply { return c.change(x) })
 	}
 	return &reply{status: 405, text: "method " + x.Method}
 }
 
-func (c *conn) write(x *Exchange) *reply {
+func (c *conn) change(x *Exchange) *reply {
 	switch {
 	case x.Method == "PATCH":
 		return c.patch(x)
--- a/internal/host/still.go
+++ b/internal/host/still.go
@@ -220,8 +220,9 @@
 // their socket. On the usual way it is a clock and a load.
 func (h *Host) Stood(span time.Duration) (from time.Time, ok bool) {
 	now := h.now()
+	limit := h.still.limit.Load() // first: who sees the new limit must see the stall that made it
 	ended := h.still.ended.Load()
-	if int64(now) <= h.still.limit.Load() && (ended == 0 || int64(now)-ended >= span.Microseconds()) {
+	if int64(now) <= limit && (ended == 0 || int64(now)-ended >= span.Microseconds()) {
 		return time.Time{}, false
 	}
 	h.still.mu.Lock()
--- a/internal/prove/console.go
+++ b/internal/prove/console.go
@@ -534,8 +534,8 @@
 				continue
 			}
 			seen++
-			if a.At > t.At+handGrace.Microseconds() {
-				early = append(early, fmt.Sprintf("%s reached %s %d us after the command", a.Request, a.Brick, a.At-t.At))
+			if a.Earliest() > t.At+handGrace.Microseconds() {
+				early = append(early, fmt.Sprintf("%s reached %s %d us after the command", a.Request, a.Brick, a.Earliest()-t.At))
 			}
 		}
 	}
--- a/internal/rules/check.go
+++ b/internal/rules/check.go
@@ -184,7 +184,7 @@
 	}
 	c.answered.put(call.ID, call.Ended, call.Ended)
 	sent, _ := c.ran.get(call.ID)
-	if up := call.Sent + call.Waits; call.Begun > up && sent.last > up+c.figures.Slack {
+	if up := call.Sent + call.Waits; call.Earliest() > up && sent.last > up+c.figures.Slack {
 		v.fault("request %s: sent to %s %d us after its client's time was up", call.ID, sent.brick, sent.last-up)
 	}
 }
@@ -218,8 +218,8 @@
 	case call.Begun == 0 && c.forsaken(call):
 	case call.Status == 0 && call.Begun == 0:
 		what = "no answer"
-	case call.Begun > due:
-		what = fmt.Sprintf("answer %d us late", call.Begun-due)
+	case call.Earliest() > due:
+		what = fmt.Sprintf("answer %d us late", call.Earliest()-due)
 	case call.Wrong:
 		what = "wrong bytes"
 	case call.Extra:
@@ -255,8 +255,8 @@
 // afterAnswer is the rest of rule 1: nothing is sent for a request after its
 // answer, or after its client's time was up.
 func (c *Checker) afterAnswer(a *Arrival, i *id) {
-	if end, ok := c.answered.get(i.run); ok && a.At > end+c.figures.Slack {
-		c.verdicts[oneAnswer].fault("request %s: sent to %s %d us after its answer", a.Request, a.Brick, a.At-end)
+	if end, ok := c.answered.get(i.run); ok && a.Earliest() > end+c.figures.Slack {
+		c.verdicts[oneAnswer].fault("request %s: sent to %s %d us after its answer", a.Request, a.Brick, a.Earliest()-end)
 	}
 	sent, ok := c.ran.get(i.run)
 	if !ok {
@@ -264,7 +264,7 @@
 	} else if t, _ := c.tasks.get(i.task); !t.drawn { // a further request of the module for the same client's
 		c.queue(a.Host, span{sent.ended, a.At})
 	}
-	sent.last, sent.brick, sent.ended = a.At, a.Brick, max(sent.ended, a.Ended)
+	sent.last, sent.brick, sent.ended = a.Earliest(), a.Brick, max(sent.ended, a.Ended)
 	if a.Key != "" && a.Space == "o" && a.mayHaveRun() && a.Status < 400 {
 		sent.record = true
 	}
@@ -312,7 +312,7 @@
 		if t.Host != a.Host || a.At <= t.At || t.Until != 0 && a.At > t.Until {
 			continue
 		}
-		if late := a.At - (c.heard(t) + c.figures.DrainGrace); late > 0 {
+		if late := a.Earliest() - (c.heard(t) + c.figures.DrainGrace); late > 0 {
 			v.fault("request %s: to %s, %s, %d us after the grace", a.Request, a.Brick, t.State, late)
 		}
 	}
--- a/internal/rules/log.go
+++ b/internal/rules/log.go
@@ -16,7 +16,8 @@
 
 // Arrival is one request that reached a brick's socket.
 type Arrival struct {
-	At      Micros // its head had come
+	At      Micros // its head was read
+	Came    Micros `json:",omitempty"` // its bytes may have come so early, where the brick stood still; 0: At
 	Ended   Micros // it was answered, or its connection ended
 	Brick   string
 	Zone    string
@@ -66,7 +67,8 @@
 	Write     bool
 	Sent      Micros // its last byte was written; 0: it was never sent whole
 	Waits     Micros // for how long the client waits from then on
-	Begun     Micros // the answer's first byte came; 0: none did
+	Begun     Micros // the answer's first byte was read; 0: none was
+	Came      Micros `json:",omitempty"` // it may have come so early, where the client stood still; 0: Begun
 	Ended     Micros // the answer was whole, or the connection ended
 	Status    int    // of the answer; 0: none
 	ID        string // the answer's request id
@@ -132,3 +134,20 @@
 	Stills     []Still
 	Figures    Figures
 }
+
+// Earliest returns the earliest time at which the request may have come.
+func (a *Arrival) Earliest() Micros {
+	if a.Came != 0 {
+		return a.Came
+	}
+	return a.At
+}
+
+// Earliest returns the earliest time at which the answer may have begun; 0:
+// none did.
+func (c *Call) Earliest() Micros {
+	if c.Came != 0 {
+		return c.Came
+	}
+	return c.Begun
+}
--- a/internal/standin/bricks/site.go
+++ b/internal/standin/bricks/site.go
@@ -249,6 +249,9 @@
 	a := rules.Arrival{At: x.At.UnixMicro(), Ended: x.Answered.UnixMicro(), Brick: x.Brick, Zone: x.Zone, Started: x.Started,
 		Request: x.Request, Host: x.Host, Method: x.Method, Space: x.Space, Name: x.Name, Volume: x.Volume, Units: x.Units,
 		Key: x.Key, Status: x.Status, Repeat: x.Repeat, Stored: x.Stored}
+	if !x.Came.IsZero() {
+		a.Came = x.Came.UnixMicro()
+	}
 	b.site.log.Add(a)
 }
 
--- a/internal/store/tidy/tidy.go
+++ b/internal/store/tidy/tidy.go
@@ -145,3 +145,14 @@
 	}
 	return q
 }
+
+// CompactRate returns the bytes a second at which compaction reads: fast where
+// nothing live is hurt, slow beside live work, and as fast as it can where the
+// disk is nearly full: writes that are refused hurt more than slow ones.
+func CompactRate(l Load, low bool) float64 {
+	const slow, fast, urgent = 1 << 20, 32 << 20, 256 << 20
+	if low {
+		return urgent
+	}
+	return slow + (fast-slow)*quiet(l)
+}
