Bricks compact and scrub their stores; status shows damage and stalls

A store that is only appended to grows without end. Blocks in quarantine are in the console's state column and in status, which also tells how often the host stood still.

--- a/cmd/arrowwalk/operate.go
+++ b/cmd/arrowwalk/operate.go
@@ -79,6 +79,9 @@
 func printSnapshot(g *globals, s *control.Snapshot) error {
 	fmt.Fprintf(g.out, "host %s: taken %d, served %d, refused %d, failed %d; queued %d, sent %d; %d connections, %d KiB of bodies\n",
 		s.Host, s.Taken, s.Served, s.Refused, s.Failed, s.Queued, s.Sent, s.Conns, (s.Memory+s.Spool)>>10)
+	if s.Stalls > 0 {
+		fmt.Fprintf(g.out, "the host stood still %d times, for %v at most\n", s.Stalls, time.Duration(s.Longest)*time.Microsecond)
+	}
 	w := tabwriter.NewWriter(g.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "brick\tstate\tby\tshard\tzone\ttrust\tutil\tout\tunits out\tserved\tfailed\tp50\tp99")
 	for _, b := range s.Bricks {
@@ -90,6 +93,9 @@
 		if b.Cold {
 			state += " (cold)"
 		}
+		if b.Bad > 0 {
+			state += fmt.Sprintf(", %d blocks damaged", b.Bad)
+		}
 		by := string(b.By)
 		if b.Who != "" {
 			by += ": " + b.Who
--- a/cmd/arrowwalk/serve.go
+++ b/cmd/arrowwalk/serve.go
@@ -21,6 +21,7 @@
 	"arrowwalk/internal/gateway"
 	"arrowwalk/internal/membership"
 	"arrowwalk/internal/store"
+	"arrowwalk/internal/store/keeper"
 )
 
 type serveCmd struct {
@@ -164,6 +165,7 @@
 	Coord    []string      `help:"Coordination servers (HOST:PORT) to register with."`
 	Root     string        `default:"/arrowwalk/bricks" help:"Node under which it registers."`
 	Session  time.Duration `default:"5s" help:"Session that it asks for: lost for longer, it is gone from the list."`
+	Scrub    time.Duration `default:"168h" help:"In which all that is stored is read once and checked."`
 	DrainFor time.Duration `help:"At SIGTERM the brick first says for so long that it drains, then ends."`
 	Ready    string        `name:"ready-file" type:"path" help:"File to write, once it serves, with its address."`
 }
@@ -185,6 +187,8 @@
 	zone.Name = b.Zone
 	server := brickd.Start(ln, dir, brickd.Options{ID: b.Name, Zone: zone, Log: g.log})
 	defer server.Close()
+	tender := keeper.Start(keeper.Options{Store: dir, Load: server.Load, Pass: b.Scrub, Log: g.log})
+	defer tender.Close()
 	g.log.Info("brick serves", "name", b.Name, "address", server.Addr())
 	if len(b.Coord) > 0 {
 		entry := membership.Entry{Name: b.Name, Address: server.Addr(), Zone: b.Zone, Shard: b.Shard, Started: server.Started()}
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -23,6 +23,7 @@
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/stall/sockage"
 	"arrowwalk/internal/store"
+	"arrowwalk/internal/store/tidy"
 )
 
 // Options of a brick.
@@ -99,6 +100,11 @@
 // SetDraining has the brick say in its answers whether it asks for nothing new.
 func (s *Server) SetDraining(yes bool) { s.drains.Store(yes) }
 
+// Load returns what live work the brick has, for what runs beside it.
+func (s *Server) Load() tidy.Load {
+	return tidy.Load{Util: float64(s.busy.util.Load()) / 1000, Waiting: int(s.waiting.Load())}
+}
+
 // Close stops the brick: it accepts nothing more, cuts its connections and
 // waits for what runs.
 func (s *Server) Close() {
--- a/internal/control/console/view.go
+++ b/internal/control/console/view.go
@@ -311,6 +311,9 @@
 		if b.Cold && b.State == drains.Ready {
 			state = "cold"
 		}
+		if b.Bad > 0 {
+			state = fmt.Sprintf("BAD %d", b.Bad)
+		}
 		if b.Full {
 			state = "FULL"
 		}
--- a/internal/control/protocol.go
+++ b/internal/control/protocol.go
@@ -100,6 +100,7 @@
 	UnitsOut float64 `json:"units_out"`
 	QueueUS  int64   `json:"queue_us"` // the module's: how long a request should wait there now
 	Cap      float64 `json:"cap"`      // the module's: units that may be out
+	Bad      int     `json:"bad"`      // blocks of its store in quarantine; of embedded bricks
 }
 
 // VolumeStatus is a collection as operators see it.
@@ -117,6 +118,8 @@
 	Host    string         `json:"host"`
 	Bricks  []BrickStatus  `json:"bricks"`
 	Volumes []VolumeStatus `json:"volumes"`
+	Stalls  uint64         `json:"stalls"`    // how often the host stood still
+	Longest int64          `json:"stall_max"` // for how long at most, microseconds
 	Taken   uint64         `json:"taken"`
 	Served  uint64         `json:"served"`
 	Refused uint64         `json:"refused"`
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -143,6 +143,12 @@
 		members[string(m.ID)] = m
 	}
 	figures, levels := g.desk.Meters.Bricks(now), g.keeper.Levels()
+	bad := map[string]int{}
+	for _, e := range g.bricks {
+		bad[e.name] = e.dir.Quarantine()
+	}
+	n, longest := g.host.Stalls()
+	s.Stalls, s.Longest = n, longest.Microseconds()
 	warm := arrowwalk.Micros(g.opt.Config.Rules.WarmWithinMS) * 1000
 	for _, st := range g.desk.Statuses() {
 		m := members[st.Brick]
@@ -151,6 +157,7 @@
 		if b.Brick.Name == "" {
 			b.Brick = meters.Brick{Name: st.Brick, Util: -1}
 		}
+		b.Bad = bad[st.Brick]
 		b.Cold = m.Started > 0 && arrowwalk.Micros(now.UnixMicro())-m.Started < warm
 		s.Bricks = append(s.Bricks, b)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"arrowwalk/internal/membership/trust"
 	"arrowwalk/internal/spool"
 	"arrowwalk/internal/store"
+	"arrowwalk/internal/store/keeper"
 )
 
 // Options of a Gateway.
@@ -74,8 +75,10 @@
 
 // embedded is a brick in this process.
 type embedded struct {
+	name   string
 	server *brickd.Server
 	dir    *store.Store
+	keeper *keeper.Keeper
 }
 
 // Start opens the sockets and serves. Nothing is left open after an error.
@@ -201,7 +204,9 @@
 		dir.Close()
 		return nil, fmt.Errorf("brick %s: %w", b.Name, err)
 	}
-	return &embedded{brickd.Start(ln, dir, brickd.Options{ID: b.Name, Zone: zone, Meter: meter, Log: g.opt.Log}), dir}, nil
+	e := &embedded{name: b.Name, server: brickd.Start(ln, dir, brickd.Options{ID: b.Name, Zone: zone, Meter: meter, Log: g.opt.Log}), dir: dir}
+	e.keeper = keeper.Start(keeper.Options{Store: dir, Load: e.server.Load, Log: g.opt.Log.With("brick", b.Name)})
+	return e, nil
 }
 
 // follow tells the host of the settings' bricks, or follows the source that
@@ -418,6 +423,7 @@
 	}
 	for _, b := range g.bricks {
 		b.server.Close()
+		b.keeper.Close()
 		b.dir.Close()
 	}
 }
--- a/internal/store/keeper/keeper.go
+++ b/internal/store/keeper/keeper.go
@@ -22,7 +22,7 @@
 type Options struct {
 	Store *store.Store
 	Load  func() tidy.Load      // what the brick sees of live work; nil: none
-	Free  func() (int64, error) // bytes free on the disk; nil: enough
+	Free  func() (int64, error) // bytes free; nil: what the store's disk says
 	Pass  time.Duration         // in which all is read once; 0: a week
 	Every time.Duration         // between two looks for what to compact; 0: 10 s
 	Low   int64                 // free bytes below which room comes first; 0: 1 GiB
@@ -66,7 +66,7 @@
 		opt.Load = func() tidy.Load { return tidy.Load{} }
 	}
 	if opt.Free == nil {
-		opt.Free = func() (int64, error) { return 1 << 62, nil }
+		opt.Free = opt.Store.Free
 	}
 	if opt.Pass == 0 {
 		opt.Pass = week
--- a/internal/store/maintain.go
+++ b/internal/store/maintain.go
@@ -24,6 +24,9 @@
 	return out
 }
 
+// Free returns the bytes that the disk has left.
+func (s *Store) Free() (int64, error) { return s.fs.Free() }
+
 // Compact moves what is live in a segment to the log's end, so that a later
 // checkpoint removes the file. pace is asked before each part is read and
 // waits as long as it likes; an error of it ends the compaction, which can be
