prove power-loss and corruption: what was acknowledged is there, no wrong bytes

Bricks on disks in memory under a real gateway: their power goes at any call to the disk, with what was not synced, and others start on what is left; bits change on disks, in reads and in answers. A disk that lies about syncs, and answers without checksums, break them, as tests see.

--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -188,3 +188,19 @@
 		t.Errorf("the proof did not see it:\n%s", out)
 	}
 }
+
+// A disk that says that it has synced loses what was acknowledged, and answers
+// without checksums bring wrong bytes to clients: the proofs see both.
+func TestStoreProofsSeeTheirGuards(t *testing.T) {
+	for _, c := range []struct{ proof, guard, held string }{
+		{"power-loss", "sync", "objects read back, 0 broken"}, {"corruption", "sums", " in answers, 0 broken"},
+	} {
+		t.Run(c.proof, func(t *testing.T) {
+			t.Parallel()
+			good, out := play(t, c.proof, func(o *prove.Options) { o.Guard = c.guard })
+			if good || strings.Contains(out, c.held) {
+				t.Errorf("the proof did not see it:\n%s", out)
+			}
+		})
+	}
+}
--- a/internal/brickd/reply.go
+++ b/internal/brickd/reply.go
@@ -227,6 +227,9 @@
 	if err != nil {
 		return c.answer(failedRead(r, err))
 	}
+	if f.Bare {
+		r.sums = nil
+	}
 	if f.Flip && len(first) > 0 {
 		first[len(first)/2] ^= 1
 	}
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -232,6 +232,7 @@
 	Short    int64         // bytes of the body left out, though its length is told
 	Long     int64         // bytes too many
 	Flip     bool          // a bit of the answer's body is another
+	Bare     bool          // the answer has no checksums
 	Garbage  bool          // answer with what is not HTTP
 	Endless  bool          // answer with a header without end
 	Twice    bool          // give the answer two times
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -81,6 +81,8 @@
 	{"rehearsal", "A day plays twice in virtual time to the same hash; a small one goes through real gateways beside it.", rehearsal},
 	{"stalls", "A gateway stands still with requests held: what is overdue is answered first, bricks are not pushed.", stallsProof},
 	{"reserves", "One front floods the bricks; a volume on the other, inside its reserve, is served in time.", reservesProof},
+	{"power-loss", "Bricks lose power at any call to their disks, and what was not synced; what was acknowledged is there.", powerLoss},
+	{"corruption", "Bits change on disks and on the way; what is wrong becomes a failure, never bytes.", corruption},
 	{"rings", "A virtual machine on a block volume and object clients at once: faults, crashes, a stall, a theft of the volume.", ringsProof},
 }
 
--- a/internal/standin/bricks/site.go
+++ b/internal/standin/bricks/site.go
@@ -15,6 +15,7 @@
 	"arrowwalk/internal/rules"
 	"arrowwalk/internal/rules/trail"
 	"arrowwalk/internal/store"
+	"arrowwalk/internal/store/disk"
 )
 
 // Site holds the bricks of a proof and their common log.
@@ -28,7 +29,9 @@
 	// takes; nil: not at all. Workers and Queue are of bricks that start then.
 	Work    func(b *Brick, x *brickd.Exchange) time.Duration
 	Workers int
-	Queue   int
+	// Disk returns the disk of a data directory; nil: the real one.
+	Disk  func(data string) disk.FS
+	Queue int
 
 	mu     sync.Mutex
 	zones  map[string]*brickd.Zone
@@ -103,7 +106,11 @@
 	if s.err != nil {
 		return nil, s.err
 	}
-	dir, err := store.Open(filepath.Join(s.dir, data), store.Options{NoSync: true})
+	opt := store.Options{NoSync: true}
+	if s.Disk != nil {
+		opt = store.Options{FS: s.Disk(data), SegmentBytes: 1 << 20, CheckBytes: 1 << 20, Reserve: 1 << 20}
+	}
+	dir, err := store.Open(filepath.Join(s.dir, data), opt)
 	if err != nil {
 		return nil, fmt.Errorf("brick %s: %w", name, err)
 	}
@@ -122,11 +129,11 @@
 	}
 	s.bricks[name] = b
 	s.mu.Unlock()
-	opt := brickd.Options{ID: name, Zone: z, Meter: s.meter, Hook: b, Workers: cmp.Or(s.Workers, 8), Queue: s.Queue}
+	serve := brickd.Options{ID: name, Zone: z, Meter: s.meter, Hook: b, Workers: cmp.Or(s.Workers, 8), Queue: s.Queue}
 	if s.Quiet {
-		opt.Hook = nil
+		serve.Hook = nil
 	}
-	b.server = brickd.Start(ln, dir, opt)
+	b.server = brickd.Start(ln, dir, serve)
 	return b, nil
 }
 
@@ -255,6 +262,9 @@
 	b.site.log.Add(a)
 }
 
+// Quarantine returns how many blocks of its store the brick found damaged.
+func (b *Brick) Quarantine() int { return b.dir.Quarantine() }
+
 // Touched returns how many requests the scripts of the brick touched.
 func (b *Brick) Touched() int {
 	b.mu.Lock()
--- a/internal/store/disk/sim.go
+++ b/internal/store/disk/sim.go
@@ -91,6 +91,13 @@
 	return &simDir{now: map[string]*inode{}, durable: map[string]*inode{}}
 }
 
+// SetPlan gives a disk that is in use another plan.
+func (s *Sim) SetPlan(plan func(Call) Fault) {
+	s.mu.Lock()
+	s.Plan = plan
+	s.mu.Unlock()
+}
+
 // Calls returns the number of calls so far.
 func (s *Sim) Calls() int {
 	s.mu.Lock()
