--- a/cmd/arrowwalk/storebench.go
+++ b/cmd/arrowwalk/storebench.go
@@ -37,6 +37,10 @@
 	for _, r := range res.Opens {
 		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.0f\t\n", r.Store, r.Blobs, r.Clean, r.Crash, r.Index)
 	}
+	if c := res.Scrub; c != nil {
+		fmt.Fprintf(w, "\n%d operations a second, %d rounds of each: p50 %d, p99 %d us; beside a scrub of %d MiB in %s, %d MiB of it read: p50 %d, p99 %d us, ratio %.2f (pairs: %.2f)\n",
+			c.Rate, c.Rounds, c.P50, c.P99, c.Bytes>>20, c.Pass, c.Read>>20, c.P50Beside, c.P99Beside, c.Ratio, c.PerRound)
+	}
 	if err := w.Flush(); err != nil || b.JSON == "" {
 		return err
 	}
--- a/internal/bench/stores/stores.go
+++ b/internal/bench/stores/stores.go
@@ -50,6 +50,7 @@
 type Result struct {
 	Rows  []Row
 	Opens []Open
+	Scrub *Scrub
 }
 
 // kv is what is asked of each of them.
@@ -172,7 +173,9 @@
 			}
 		}
 	}
-	return res, nil
+	var err error
+	res.Scrub, err = beside(opt)
+	return res, err
 }
 
 func (r *Result) rates(opt Options, k kind, size, n int) error {
