A brick's requests wait in a line that is decided: shares, bounds, stalls told early

Writes that wait for a slow disk could take all workers of a brick, and reads waited behind them. internal/store/admit decides, free of I/O: a bound on those who wait, a quarter of the workers that writes cannot take, even shares by cost where both wait (start-time fair queueing).

--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -23,6 +23,8 @@
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/stall/sockage"
 	"arrowwalk/internal/store"
+	"arrowwalk/internal/store/admit"
+	"arrowwalk/internal/store/record"
 	"arrowwalk/internal/store/tidy"
 )
 
@@ -47,8 +49,7 @@
 	started int64 // microseconds since 1970
 	name    string
 	ln      net.Listener
-	workers chan struct{}
-	waiting atomic.Int64
+	line    *line
 	busy    busyMeter
 	use     hostMeter
 	fences  fences
@@ -83,7 +84,7 @@
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
 	s := &Server{opt: opt, dir: dir, ln: ln, started: time.Now().UnixMicro(),
-		workers: make(chan struct{}, opt.Workers), conns: map[*conn]struct{}{}}
+		line: newLine(admit.Limits{Workers: opt.Workers, Queue: opt.Queue}), conns: map[*conn]struct{}{}}
 	s.name = fmt.Sprintf("%s@%d", opt.ID, s.started)
 	s.busy.init(opt.Workers)
 	s.wg.Add(1)
@@ -102,7 +103,7 @@
 
 // Load returns what live work the brick has, for what runs beside it.
 func (s *Server) Load() tidy.Load {
-	return tidy.Load{Util: float64(s.busy.util.Load()) / 1000, Waiting: int(s.waiting.Load())}
+	return tidy.Load{Util: float64(s.busy.util.Load()) / 1000, Waiting: s.line.waiting()}
 }
 
 // Close stops the brick: it accepts nothing more, cuts its connections and
@@ -408,15 +409,12 @@
 	if want := c.req.Fields.Get(brick.HeaderExpect); want != "" && want != c.s.opt.ID {
 		return &reply{status: 421, text: "this is brick " + c.s.opt.ID + ", not " + want}, none
 	}
-	select {
-	case c.s.workers <- struct{}{}:
-	default:
-		if c.s.waiting.Add(1) > int64(c.s.opt.Queue) {
-			c.s.waiting.Add(-1)
-			return &reply{status: 503, text: "queue is full"}, none
-		}
-		c.s.workers <- struct{}{}
-		c.s.waiting.Add(-1)
+	kind := admit.Read
+	if x.Method == "PUT" || x.Method == "DELETE" || x.Method == "PATCH" {
+		kind = admit.Write
+	}
+	if !c.s.line.enter(kind, 1+float64(max(c.req.Length, 0))/record.Block) {
+		return &reply{status: 503, text: "queue is full"}, none
 	}
 	c.s.busy.begin()
 	r = c.dispatch(x)
@@ -431,7 +429,7 @@
 			r.blob.Close()
 		}
 		c.s.busy.end()
-		<-c.s.workers
+		c.s.line.leave(kind)
 	}
 }
 
--- a/internal/prove/console.go
+++ b/internal/prove/console.go
@@ -129,7 +129,11 @@
 	e.faults = append(e.faults, fmt.Sprintf(format, args...))
 }
 
-// client writes and reads without a pause.
+// shortPause is a client's between two turns of a short run: many seeds are
+// played at once, and what is looked at is the order of events, not the load.
+const shortPause = 5 * time.Millisecond
+
+// client writes and reads, in the long form without a pause.
 func (e *evenings) client(i int, stop <-chan struct{}) {
 	c := &clients.Client{Name: fmt.Sprint("client-", i), Target: e.host.target, Log: e.log}
 	defer c.Close()
@@ -140,6 +144,10 @@
 			return
 		default:
 		}
+		if e.opt.Short {
+			t := time.NewTimer(shortPause)
+			<-t.C
+		}
 		key, of := fmt.Sprintf("/theses/%d/%d", i, n), made{int64(n), 1 + rnd.Intn(20_000)}
 		body := of.bytes()
 		a := c.Do(&clients.Request{Method: "PUT", Path: key, Body: body, Wait: time.Second})
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"arrowwalk/internal/store/admit"
 	"arrowwalk/internal/store/disk"
 	"arrowwalk/internal/store/record"
 )
@@ -106,6 +107,19 @@
 	since   int64 // bytes written since the last checkpoint
 }
 
+// commitPart is the weight of a commit in what one usually takes.
+const commitPart = 0.05
+
+// Commits returns for how long the commit under way has run, and what one takes
+// of late.
+func (s *Store) Commits() admit.Commits {
+	c := admit.Commits{Usual: time.Duration(s.usual.Load()) * time.Microsecond}
+	if began := s.began.Load(); began != 0 {
+		c.Running = max(0, time.Duration(time.Now().UnixMicro()-began)*time.Microsecond)
+	}
+	return c
+}
+
 func (s *Store) commits() {
 	defer close(s.done)
 	var chores sync.WaitGroup
@@ -115,7 +129,11 @@
 		if len(ops) == 0 {
 			return
 		}
+		began := time.Now()
+		s.began.Store(began.UnixMicro())
 		s.commit(ops)
+		s.began.Store(0)
+		s.usual.Add(int64(commitPart * float64(time.Since(began).Microseconds()-s.usual.Load())))
 		for _, o := range ops {
 			close(o.done)
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -99,8 +99,9 @@
 	done    chan struct{}
 	files   uint64 // the greatest number given to a body's file; guarded by mu
 
-	checking sync.Mutex // one checkpoint, compaction at a time
-	counts   Counts
+	checking     sync.Mutex // one checkpoint, compaction at a time
+	counts       Counts
+	began, usual atomic.Int64 // of the commit under way, and what one takes; microseconds
 }
 
 // Counts are what a store did since it was opened.
