Crashes at every call of a store's life; its commands are played

The command's test migrates a directory of the old form, exports and imports it, and sees a changed bit named.

--- a/cmd/arrowwalk/command_test.go
+++ b/cmd/arrowwalk/command_test.go
@@ -16,6 +16,7 @@
 	"arrowwalk/internal/front/s3/sigv4"
 	"arrowwalk/internal/placement"
 	"arrowwalk/internal/standin/clients"
+	"arrowwalk/internal/store/filedir"
 )
 
 // command returns a run of arrowwalk as a process.
@@ -208,3 +209,51 @@
 	}
 	end(t, second)
 }
+
+// A directory of the old form is refused, migrated, checked, exported and taken
+// up elsewhere; a bit that changes on the disk is named.
+func TestStoreCommands(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	at := t.TempDir()
+	dir, other, file := filepath.Join(at, "brick"), filepath.Join(at, "other"), filepath.Join(at, "export")
+	old, err := filedir.Open(dir, filedir.Options{NoSync: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 50 {
+		body := strings.Repeat("body ", 10+i)
+		if _, _, err := old.Put(ctx, "o", filedir.Info{Name: fmt.Sprint("k", i), Size: int64(len(body))}, strings.NewReader(body), filedir.Condition{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old.Close()
+	run := func(want string, good bool, args ...string) {
+		t.Helper()
+		out, err := command(ctx, append([]string{"store"}, args...)...).CombinedOutput()
+		if (err == nil) != good || !strings.Contains(string(out), want) {
+			t.Errorf("store %v: %v\n%s", args, err, out)
+		}
+	}
+	run("arrowwalk store migrate", false, "check", dir)
+	run("50 blobs", true, "migrate", dir)
+	run("50 blobs of", true, "check", dir)
+	run(`"name":"k7"`, true, "dump", dir)
+	run("50 blobs", true, "export", dir, file)
+	run("file exists", false, "export", dir, file)
+	run("50 blobs stored", true, "import", other, file)
+	run("0 blobs stored, 50 left", true, "import", other, file)
+	run("bytes freed", true, "compact", other)
+	run("50 blobs of", true, "check", other)
+	run("not a brick's directory", false, "check", at)
+	segment := filepath.Join(other, "log", "00000001")
+	text, err := os.ReadFile(segment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text[640] ^= 1 // in the first record
+	if err := os.WriteFile(segment, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run("log/00000001 at", false, "check", other)
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -720,3 +720,69 @@
 		readCheckpoint(file, s.id)
 	})
 }
+
+// everything is one of each: writes, an overwrite, a large body and one in its
+// place, conditional writes, deletes, a compaction, checkpoints, a snapshot with
+// its export.
+func everything(s *Store, w *world) {
+	write := func(name string, size int, c Condition) {
+		body := strings.Repeat(name[len(name)-1:], size)
+		w.begin(name, body)
+		_, err := put(s, name, body, c)
+		w.end(name, body, err)
+	}
+	for i := range 4 {
+		write(nameOf(i), 100+i, Condition{})
+	}
+	write(nameOf(0), 300, Condition{})
+	write(nameOf(4), 3000, Condition{Absent: true})
+	n := s.Snapshot()
+	write(nameOf(4), 2000, Condition{})
+	w.begin(nameOf(1), absent)
+	_, err := s.Delete("o", nameOf(1), Condition{})
+	w.end(nameOf(1), absent, err)
+	n.Export(context.Background(), io.Discard)
+	n.Close()
+	s.log.broken = true // the segment ends: the next group begins another
+	write(nameOf(2), 50, Condition{})
+	s.Checkpoint()
+	if list := s.Segments(); len(list) > 0 {
+		s.Compact(context.Background(), list[0].Number, nil)
+	}
+	write(nameOf(5), 700, Condition{})
+	s.Checkpoint()
+	write(nameOf(5), 10, Condition{})
+	s.Checkpoint()
+}
+
+// The machine crashes at each call that all this makes, and what is left of the
+// disk is any of several.
+func TestCrashAtEveryCall(t *testing.T) {
+	count := disk.NewSim()
+	s := open(t, count)
+	everything(s, newWorld())
+	s.Close()
+	for at := 1; at <= count.Calls(); at++ {
+		for try := range int64(4) {
+			sim, w := disk.NewSim(), newWorld()
+			sim.Plan = func(c disk.Call) disk.Fault {
+				if c.Number >= at {
+					return disk.Crash
+				}
+				return disk.None
+			}
+			if s, err := Open("sim", small(sim)); err == nil {
+				everything(s, w)
+				s.Close()
+			}
+			s := open(t, sim.After(rand.New(rand.NewSource(try))))
+			what := fmt.Sprintf("crash at call %d, try %d", at, try)
+			w.verify(t, s, what)
+			if _, _, err := s.Check(context.Background(), func(d Damage) { t.Errorf("%s: %s", what, d) }); err != nil {
+				t.Fatal(err)
+			}
+			s.Close()
+		}
+	}
+	t.Logf("%d calls", count.Calls())
+}
