A checkpoint takes the version that readers have seen, not one being given

The race detector: the committer gave versions while a checkpoint read the last one. It reads the one that was last shown now. internal/store is race clean in 36 s.

--- a/internal/store/checkpoint.go
+++ b/internal/store/checkpoint.go
@@ -54,7 +54,7 @@
 	}
 	s.mu.Lock()
 	l := &s.log
-	m := mark{number: s.last.number + 1, group: l.group, version: l.version, files: s.files, flying: sortedKeys(s.flying), offset: record.SegmentLen, segment: 1}
+	m := mark{number: s.last.number + 1, group: l.group, version: l.shown, files: s.files, flying: sortedKeys(s.flying), offset: record.SegmentLen, segment: 1}
 	if l.segment != nil {
 		m.segment, m.offset = l.segment.number, l.end
 	}
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -100,7 +100,8 @@
 	segment *segment
 	end     int64  // of what was acknowledged in it
 	group   uint64 // the last group's number
-	version uint64 // the last one given
+	version uint64 // the last one given; the committer's alone
+	shown   uint64 // the last one that readers may have seen
 	broken  bool   // nothing more is written to the segment: what it holds after end is not known
 	least   uint32 // no segment up to this number is begun
 	buf     []byte
@@ -349,6 +350,7 @@
 	l := &s.log
 	span := int64(len(l.buf))
 	s.mu.Lock()
+	l.shown = l.version
 	l.group++ // a checkpoint sees the log's place and the index of one moment
 	l.end += span
 	l.since += span
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -75,6 +75,7 @@
 	if err := r.all(); err != nil {
 		return err
 	}
+	s.log.shown = s.log.version
 	s.account()
 	return r.bodies()
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -176,12 +176,12 @@
 	sim, w := disk.NewSim(), newWorld()
 	for life := range 3 {
 		at := sim.Calls() + 1 + rnd.Intn(300)
-		sim.Plan = func(c disk.Call) disk.Fault {
+		sim.SetPlan(func(c disk.Call) disk.Fault {
 			if c.Number >= at && c.Op != "read" {
 				return disk.Crash
 			}
 			return disk.None
-		}
+		})
 		if s, err := Open("sim", small(sim)); err == nil {
 			w.verify(t, s, fmt.Sprintf("seed %d life %d", seed, life))
 			work(s, w, seed*10+int64(life), 40)
@@ -207,14 +207,14 @@
 			rnd := rand.New(rand.NewSource(seed))
 			sim, w := disk.NewSim(), newWorld()
 			s := open(t, sim)
-			sim.Plan = func(c disk.Call) disk.Fault {
+			sim.SetPlan(func(c disk.Call) disk.Fault {
 				if c.Op != "read" && rnd.Intn(20) == 0 {
 					return fault
 				}
 				return disk.None
-			}
+			})
 			work(s, w, seed, 30)
-			sim.Plan = nil
+			sim.SetPlan(nil)
 			for i := range names { // a read shows the last that was acknowledged, never one that failed
 				if got, err := read(s, nameOf(i)); err != nil || got != w.sure[nameOf(i)] && (got != absent || w.sure[nameOf(i)] != "") {
 					t.Fatalf("seed %d: %q holds %.30q, want %.30q: %v", seed, nameOf(i), got, w.sure[nameOf(i)], err)
@@ -765,12 +765,12 @@
 	for at := 1; at <= count.Calls(); at++ {
 		for try := range int64(4) {
 			sim, w := disk.NewSim(), newWorld()
-			sim.Plan = func(c disk.Call) disk.Fault {
+			sim.SetPlan(func(c disk.Call) disk.Fault {
 				if c.Number >= at {
 					return disk.Crash
 				}
 				return disk.None
-			}
+			})
 			if s, err := Open("sim", small(sim)); err == nil {
 				everything(s, w)
 				s.Close()
