--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -786,3 +786,84 @@
 	}
 	t.Logf("%d calls", count.Calls())
 }
+
+// A disk that becomes read-only takes nothing more, and all that it took before
+// is read.
+func TestReadOnlyDisk(t *testing.T) {
+	sim := disk.NewSim()
+	s := open(t, sim)
+	for i := range 20 {
+		if _, err := put(s, nameOf(i%names), strings.Repeat("b", 100+50*i), Condition{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	once := false
+	sim.SetPlan(func(c disk.Call) disk.Fault {
+		if c.Op == "write" && !once {
+			once = true
+			return disk.ReadOnly
+		}
+		return disk.None
+	})
+	for i := range 5 {
+		if _, err := put(s, "new", strings.Repeat("c", 100+500*i), Condition{}); !errors.Is(err, syscall.EROFS) {
+			t.Errorf("write %d: %v", i, err)
+		}
+	}
+	if _, err := s.Delete("o", nameOf(0), Condition{}); !errors.Is(err, syscall.EROFS) {
+		t.Errorf("delete: %v", err)
+	}
+	for i := range names {
+		if got, err := read(s, nameOf(i)); err != nil || got == absent {
+			t.Errorf("%q: %.10q %v", nameOf(i), got, err)
+		}
+	}
+	if err := s.Close(); !errors.Is(err, syscall.EROFS) {
+		t.Errorf("close: %v", err)
+	}
+}
+
+// A segment, or a large body's file, that is missing is named, and what was in it
+// fails; the rest is served.
+func TestMissingFiles(t *testing.T) {
+	sim := disk.NewSim()
+	s := open(t, sim)
+	for i := range 60 {
+		if _, err := put(s, fmt.Sprint("k", i), strings.Repeat("b", 550), Condition{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := put(s, "big", strings.Repeat("b", 5000), Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range []string{"log/00000002", bodyFile(1)} {
+		if err := sim.Remove(file); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s = open(t, sim)
+	defer s.Close()
+	if len(s.Found()) != 1 || s.Found()[0].File != "log/00000002" {
+		t.Errorf("found %v", s.Found())
+	}
+	lost := 0
+	for i := range 60 {
+		if _, err := read(s, fmt.Sprint("k", i)); errors.Is(err, ErrCorrupt) {
+			lost++
+		} else if err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := read(s, "big"); !errors.Is(err, ErrCorrupt) || lost == 0 || lost > 40 {
+		t.Errorf("%d blobs fail; the large one: %v", lost, err)
+	}
+	if _, err := put(s, "big", "again", Condition{}); err != nil {
+		t.Error(err)
+	}
+	if got, err := read(s, "big"); err != nil || got != "again" {
+		t.Errorf("written anew: %q %v", got, err)
+	}
+}
