A test's stall begins where the beat that waits for it looked at the clock

Beside four busy loops it failed: a beat that waits for the lock has read the clock inside the stall.

--- a/internal/host/still_test.go
+++ b/internal/host/still_test.go
@@ -13,8 +13,8 @@
 func stand(h *Host, span time.Duration) time.Time {
 	h.own.Lock()
 	h.still.mu.Lock()
-	from := time.Now() // no sign of life can be later
-	time.Sleep(span)   // the stall itself
+	from := time.Now()
+	time.Sleep(span) // the stall itself
 	h.still.mu.Unlock()
 	h.own.Unlock()
 	return from
@@ -59,10 +59,12 @@
 		passed := time.Now()
 		wg.Wait()
 		from, ok := h.Stood(time.Minute)
-		if !ok || from.After(began.Add(time.Millisecond)) || from.Before(before) {
+		// A beat that waits for the lock looked at the clock before it: the stall
+		// begins there, a beat late at the usual pace.
+		if !ok || from.After(began.Add(300*time.Millisecond)) || from.Before(before) {
 			t.Errorf("stood: %v, %s after it did", ok, from.Sub(began))
 		}
-		if n, most := h.Stalls(); n == 0 || most < 600*time.Millisecond {
+		if n, most := h.Stalls(); n == 0 || most < 600*time.Millisecond-max(0, from.Sub(began)) {
 			t.Errorf("%d stalls, the longest %s", n, most)
 		}
 		if written && passed.Before(answered) {
