--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -88,6 +88,9 @@
 
 // ended counts how a collection's task ended.
 func (g *Gateway) ended(bucket string, plan, shard int, end host.End) {
+	if bucket == "" { // a chore of the gateway's own: no collection's
+		return
+	}
 	ends := map[host.End]meters.End{host.Served: meters.Served, host.Refused: meters.Refused, host.Failed: meters.Failed}
 	if e, ok := ends[end]; ok {
 		g.desk.Meters.Answer(bucket, g.opt.Config.Plans[plan].Name, shard, e)
