--- a/cmd/arrowwalk/main.go
+++ b/cmd/arrowwalk/main.go
@@ -17,6 +17,7 @@
 	LogFormat string `default:"text" enum:"text,json" help:"Form of the log on standard error: ${enum}."`
 
 	Serve      serveCmd      `cmd:"" help:"Serve the object API; without settings, with six bricks in this process."`
+	Platform   platformCmd   `cmd:"" help:"Serve on the users' platform, configured by its variables GW_*."`
 	Appliance  applianceCmd  `cmd:"" help:"Serve a small site from one machine: embedded bricks, operators' socket, no questions."`
 	Brick      brickCmd      `cmd:"" help:"Run one brick."`
 	Config     configCmd     `cmd:"" help:"Check or show settings."`
--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -6,12 +6,12 @@
 import (
 	"errors"
 	"strconv"
-	"sync"
 	"time"
 
 	"arrowwalk"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
+	"arrowwalk/internal/conns"
 	"arrowwalk/internal/host"
 )
 
@@ -69,15 +69,12 @@
 	Task   host.Task
 
 	sender  *Sender
-	attempt brick.Attempt
-	mu      sync.Mutex
-	number  int // of the attempt that runs
-	aborted int // attempts up to this number are aborted
+	attempt conns.Numbered
 }
 
 // Ready makes the call, whose Task says what the module is to know, ready for Do.
 func (c *Call) Ready(s *Sender) {
-	c.sender, c.number, c.aborted = s, -1, -1
+	c.sender = s
 	c.Task.Runner, c.Task.Label = c, c.ID
 }
 
@@ -91,30 +88,11 @@
 		return
 	}
 	c.Began = true
-	c.sender.Host.Stream(&c.Task, c.number, c.Node.ID)
+	c.sender.Host.Stream(&c.Task, c.attempt.Number(), c.Node.ID)
 }
 
 // Abort ends the attempt of that number (host.Runner).
-func (c *Call) Abort(number int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.aborted = max(c.aborted, number)
-	if c.number == number {
-		c.attempt.Abort()
-	}
-}
-
-// start readies c for an attempt; false: it was aborted before it began.
-func (c *Call) start(number int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.aborted >= number {
-		return false
-	}
-	c.number = number
-	c.attempt.Reset()
-	return true
-}
+func (c *Call) Abort(number int) { c.attempt.Abort(number) }
 
 // request returns what is sent in an attempt.
 func (c *Call) request(t *host.Try) brick.Call {
@@ -134,7 +112,7 @@
 
 // Try makes an attempt (host.Runner).
 func (c *Call) Try(t *host.Try) host.Result {
-	if !c.start(t.Number) {
+	if !c.attempt.Begin(t.Number) {
 		return host.Result{Status: arrowwalk.Moot}
 	}
 	if t.Member.Address == "" {
@@ -144,7 +122,7 @@
 	c.Node = t.Member
 	q, s := c.request(t), c.sender
 	began, lay := time.Now(), time.Duration(0)
-	err := s.Pool.Do(&c.attempt, t.Member.Address, &q, &c.Answer)
+	err := s.Pool.Do(&c.attempt.Attempt, t.Member.Address, &q, &c.Answer)
 	if err == nil {
 		lay = s.Host.Lay(c.Answer.Raw, began, s.Longest())
 		err = c.taken()
--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -1,18 +1,15 @@
 package brick
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"slices"
-	"sync"
-	"syscall"
 	"time"
 
 	"arrowwalk"
+	"arrowwalk/internal/conns"
 	"arrowwalk/internal/http1"
 )
 
@@ -27,11 +24,8 @@
 // Pool keeps connections to bricks. It is safe for concurrent use and never
 // retries: each Do is one attempt.
 type Pool struct {
-	opt    PoolOptions
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address, the latest used last
-	closed bool
-	dialed int64
+	opt   PoolOptions
+	conns *conns.Pool
 }
 
 // NewPool returns an empty pool.
@@ -48,122 +42,32 @@
 	if opt.Stall == 0 {
 		opt.Stall = 10 * time.Second
 	}
-	return &Pool{opt: opt, idle: map[string][]*conn{}}
+	return &Pool{opt: opt, conns: conns.NewPool(conns.Options{IdleEach: opt.IdlePerBrick, IdleFor: opt.IdleFor,
+		DialTimeout: opt.DialTimeout, Limits: http1.DefaultLimits})}
 }
 
 // Close closes the idle connections; those in use close when they come back.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for _, list := range p.idle {
-		for _, c := range list {
-			c.nc.Close()
-		}
-	}
-	p.idle = nil
-}
+func (p *Pool) Close() { p.conns.Close() }
 
 // Keep closes the idle connections to all addresses but those given.
-func (p *Pool) Keep(addresses []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, list := range p.idle {
-		if slices.Contains(addresses, address) {
-			continue
-		}
-		for _, c := range list {
-			c.nc.Close()
-		}
-		delete(p.idle, address)
-	}
-}
+func (p *Pool) Keep(addresses []string) { p.conns.Keep(addresses) }
 
 // Dialed returns how many connections were opened.
 func (p *Pool) Dialed() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed
+	_, _, dialed := p.conns.Counts()
+	return dialed
 }
 
+// conn is a connection with the answer that is read on it.
 type conn struct {
-	nc      net.Conn
-	raw     syscall.RawConn
-	address string
-	in      *bufio.Reader
-	heads   *http1.Reader
-	out     []byte
-	resp    http1.Response
-	body    http1.Body
-	used    time.Time
+	*conns.Conn
+	resp http1.Response
+	body http1.Body
 }
 
-// Attempt is one sending, which another goroutine may abort. Its zero value
-// is ready; it serves one Do at a time and may be reused after Reset.
-type Attempt struct {
-	mu      sync.Mutex
-	nc      net.Conn
-	cancel  context.CancelFunc
-	aborted bool
-}
-
-// Reset makes a ready for another Do.
-func (a *Attempt) Reset() {
-	a.mu.Lock()
-	a.nc, a.cancel, a.aborted = nil, nil, false
-	a.mu.Unlock()
-}
-
-// Abort ends the attempt's I/O: Do, or the reading of the body, returns a
-// Failure with ReasonAborted. It may come before, during or after Do.
-func (a *Attempt) Abort() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.aborted = true
-	if a.nc != nil {
-		a.nc.SetDeadline(time.Unix(1, 0))
-	}
-	if a.cancel != nil {
-		a.cancel()
-	}
-}
-
-// hold takes the connection into the attempt; false: it was aborted before.
-func (a *Attempt) hold(nc net.Conn, deadline time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.aborted {
-		return false
-	}
-	a.nc, a.cancel = nc, nil
-	if nc != nil {
-		nc.SetDeadline(deadline)
-	}
-	return true
-}
-
-// extend moves the connection's deadline, unless the attempt was aborted.
-func (a *Attempt) extend(deadline time.Time) {
-	a.mu.Lock()
-	if !a.aborted && a.nc != nil {
-		a.nc.SetDeadline(deadline)
-	}
-	a.mu.Unlock()
-}
-
-// release lets go of the connection and tells whether it may be used again.
-func (a *Attempt) release() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.nc, a.cancel = nil, nil
-	return !a.aborted
-}
-
-func (a *Attempt) wasAborted() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.aborted
-}
+// Attempt is one sending, which another goroutine may abort: Do, or the reading
+// of the body, then returns a Failure with ReasonAborted.
+type Attempt = conns.Attempt
 
 // Do sends a call to the brick at address and reads the answer's head into
 // ans. On nil the caller reads ans.Body and calls ans.Done. Any error is a
@@ -176,26 +80,26 @@
 	if err != nil {
 		return err
 	}
-	if !at.hold(c.nc, call.Deadline) {
-		p.put(c)
+	if !at.Hold(c.Conn, call.Deadline) {
+		p.conns.Put(c.Conn)
 		return fail(arrowwalk.Cancelled, ReasonAborted, nil)
 	}
 	if err := c.send(call); err != nil {
 		return p.lose(at, c, err)
 	}
-	if err := c.heads.ReadResponse(&c.resp, call.Method); err != nil {
+	if err := c.Heads.ReadResponse(&c.resp, call.Method); err != nil {
 		return p.lose(at, c, err)
 	}
-	ans.conn, ans.at, ans.Raw = c, at, c.raw
+	ans.conn, ans.at, ans.Raw = c, at, c.Raw
 	if err := ans.read(&c.resp); err != nil {
 		return p.lose(at, c, &http1.Error{Status: 502, Reason: err.Error()})
 	}
 	if ans.Request != "" && ans.Request != call.Request { // a second answer to one before
 		return p.lose(at, c, &http1.Error{Status: 502, Reason: "the answer is to request " + ans.Request})
 	}
-	c.body.Reset(c.in, c.resp.Framing)
+	c.body.Reset(c.In, c.resp.Framing)
 	if call.Method == "HEAD" {
-		c.body.Reset(c.in, http1.Framing{})
+		c.body.Reset(c.In, http1.Framing{})
 	}
 	ans.Body = &c.body
 	if refused := ans.refusal(); refused != nil {
@@ -228,8 +132,8 @@
 
 // lose closes a connection on which an attempt failed and names the failure.
 func (p *Pool) lose(at *Attempt, c *conn, err error) *Failure {
-	aborted := !at.release()
-	c.nc.Close()
+	aborted := !at.Release()
+	p.conns.Drop(c.Conn)
 	return classify(err, aborted, ReasonBroken)
 }
 
@@ -249,103 +153,20 @@
 	return fail(arrowwalk.Reset, broken, err)
 }
 
-// take returns an idle connection that is still open, or dials one.
+// take returns a connection to the brick at address.
 func (p *Pool) take(at *Attempt, address string, deadline time.Time) (*conn, error) {
-	for {
-		c := p.pop(address)
-		if c == nil {
-			break
-		}
-		if time.Since(c.used) < p.opt.IdleFor && c.open() {
-			return c, nil
-		}
-		c.nc.Close()
-	}
-	return p.dial(at, address, deadline)
-}
-
-func (p *Pool) pop(address string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
-}
-
-func (p *Pool) put(c *conn) {
-	c.used = time.Now()
-	p.mu.Lock()
-	list := p.idle[c.address]
-	keep := !p.closed && len(list) < p.opt.IdlePerBrick
-	if keep {
-		p.idle[c.address] = append(list, c)
-	}
-	p.mu.Unlock()
-	if !keep {
-		c.nc.Close()
-	}
-}
-
-func (p *Pool) dial(at *Attempt, address string, deadline time.Time) (*conn, error) {
-	until := time.Now().Add(p.opt.DialTimeout)
-	if deadline.Before(until) {
-		until = deadline
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	at.mu.Lock()
-	at.cancel = cancel
-	aborted := at.aborted
-	at.mu.Unlock()
-	if aborted {
-		return nil, fail(arrowwalk.Unreachable, ReasonAborted, nil)
-	}
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		reason := ReasonRefused
-		if ctx.Err() != nil {
-			reason = ReasonDialTimeout
-		}
-		return nil, fail(arrowwalk.Unreachable, reason, err)
-	}
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
-	c := &conn{nc: nc, address: address, in: bufio.NewReaderSize(nc, 16<<10)}
-	c.heads = http1.NewReader(c.in, http1.DefaultLimits)
-	if sc, ok := nc.(syscall.Conn); ok {
-		c.raw, _ = sc.SyscallConn()
-	}
-	return c, nil
-}
-
-// open looks whether an idle connection is still there: a brick that closed
-// it, or said something unasked, is not asked on it.
-func (c *conn) open() bool {
-	if c.in.Buffered() > 0 {
-		return false
-	}
-	if c.raw == nil {
-		return true
-	}
-	return !Readable(c.raw)
-}
-
-// Readable tells whether a read on the socket would return at once: bytes
-// have come, or the peer has closed or broken the connection.
-func Readable(raw syscall.RawConn) bool {
-	var one [1]byte
-	ready := true
-	err := raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ready = err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return err != nil || ready
+	c, err := p.conns.Take(at, address, deadline)
+	if err == nil {
+		return &conn{Conn: c}, nil
+	}
+	reason := ReasonRefused
+	var dial *conns.DialError
+	if errors.As(err, &dial) && dial.Aborted {
+		reason = ReasonAborted
+	} else if dial != nil && dial.TimedOut {
+		reason = ReasonDialTimeout
+	}
+	return nil, fail(arrowwalk.Unreachable, reason, err)
 }
 
 const smallBody = 64 << 10
@@ -353,23 +174,23 @@
 // send writes the call's head and body. A small body goes out with the head
 // in one write.
 func (c *conn) send(call *Call) error {
-	c.out = call.append(c.out[:0], time.Until(call.Deadline))
+	c.Out = call.append(c.Out[:0], time.Until(call.Deadline))
 	if call.bodyLen() == 0 {
-		_, err := c.nc.Write(c.out)
+		_, err := c.Write(c.Out)
 		return err
 	}
 	parts, reader := call.Body.Parts()
 	if reader == nil {
 		buffers := make(net.Buffers, 0, len(parts)+1)
-		buffers = append(append(buffers, c.out), parts...)
-		_, err := buffers.WriteTo(c.nc)
+		buffers = append(append(buffers, c.Out), parts...)
+		_, err := buffers.WriteTo(c.Conn.Conn)
 		return err
 	}
-	if _, err := c.nc.Write(c.out); err != nil {
+	if _, err := c.Write(c.Out); err != nil {
 		return err
 	}
 	source := &sourceErr{r: reader}
-	n, err := io.CopyN(c.nc, source, call.bodyLen())
+	n, err := io.CopyN(c.Conn.Conn, source, call.bodyLen())
 	if source.err != nil || err == nil && n < call.bodyLen() {
 		return fail(arrowwalk.Reset, ReasonSpool, source.err)
 	}
@@ -430,7 +251,7 @@
 
 // Stream tells that the answer is being passed on: from now on each wait for
 // bytes has the pool's stall bound in place of the call's deadline.
-func (a *Answer) Stream(p *Pool) { a.at.extend(time.Now().Add(p.opt.Stall)) }
+func (a *Answer) Stream(p *Pool) { a.at.Extend(time.Now().Add(p.opt.Stall)) }
 
 // ReadAll reads the whole body into buf, which it grows, up to most bytes.
 func (a *Answer) ReadAll(p *Pool, buf []byte, most int64) ([]byte, error) {
@@ -465,10 +286,10 @@
 		return
 	}
 	a.conn = nil
-	if a.at.release() && whole && c.body.Done() && !c.resp.Close && c.in.Buffered() == 0 {
-		c.nc.SetDeadline(time.Time{})
-		p.put(c)
+	if a.at.Release() && whole && c.body.Done() && !c.resp.Close && c.In.Buffered() == 0 {
+		c.SetDeadline(time.Time{})
+		p.conns.Put(c.Conn)
 		return
 	}
-	c.nc.Close()
+	p.conns.Drop(c.Conn)
 }
--- a/internal/brick/pool_test.go
+++ b/internal/brick/pool_test.go
@@ -133,17 +133,17 @@
 		if err := get(closes, &Attempt{}); err != nil {
 			t.Errorf("a connection that the brick closes: %v", err)
 		}
-		c := p.pop(closes)
+		c := p.conns.Pop(closes)
 		if c == nil {
 			continue
 		}
-		for c.open() { // until the close has come over
+		for c.Quiet() { // until the close has come over
 			time.Sleep(time.Millisecond)
 		}
-		p.put(c)
+		p.conns.Put(c)
 	}
 	p.Keep([]string{closes})
-	if c := p.pop(keeps); c != nil {
+	if c := p.conns.Pop(keeps); c != nil {
 		t.Error("connections to a brick that left are kept")
 	}
 	silent := answerWith(t, "", false)
--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -17,11 +17,11 @@
 	"strings"
 	"time"
 
-	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/front/s3/chunked"
 	"arrowwalk/internal/front/s3/sigv4"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/peek"
 )
 
 // nvme is the polynomial of x-amz-checksum-crc64nvme, reflected.
@@ -171,7 +171,7 @@
 	}
 	began := time.Now()
 	left := x.c.body.Remaining()
-	empty := x.c.in.Buffered() == 0 && x.c.raw != nil && !brick.Readable(x.c.raw)
+	empty := x.c.in.Buffered() == 0 && x.c.raw != nil && !peek.Readable(x.c.raw)
 	if left > onTheWay || (left < 0 || empty) && !x.away {
 		x.from = began // the client is still sending: its wait has not begun
 	}
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -18,6 +18,7 @@
 	"arrowwalk/internal/front/s3/sigv4"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/peek"
 	"arrowwalk/internal/placement"
 	"arrowwalk/internal/sizing"
 	"arrowwalk/internal/spool"
@@ -200,10 +201,7 @@
 		nc.Close()
 		return
 	}
-	c := &conn{s: s, nc: nc}
-	if sc, ok := nc.(syscall.Conn); ok {
-		c.raw, _ = sc.SyscallConn()
-	}
+	c := &conn{s: s, nc: nc, raw: peek.Raw(nc)}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -228,7 +226,7 @@
 		}
 		var gone []*conn
 		s.eachConn(func(c *conn) {
-			if c.waits() && peerGone(c.raw) {
+			if c.waits() && peek.Gone(c.raw) {
 				gone = append(gone, c)
 			}
 		})
@@ -238,20 +236,6 @@
 	}
 }
 
-// peerGone tells whether the peer has closed or broken the connection.
-func peerGone(raw syscall.RawConn) bool {
-	if raw == nil {
-		return false
-	}
-	gone := false
-	err := raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return err != nil || gone
-}
-
 // conn is one client's connection.
 type conn struct {
 	s    *Server
@@ -353,24 +337,7 @@
 			return net.ErrClosed
 		}
 	}
-	var failed error
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			return false
-		case err != nil:
-			failed = err
-		case n == 0:
-			failed = io.EOF
-		}
-		return true
-	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return peek.Await(c.raw)
 }
 
 // patient reads a connection. Where its time is up and bytes are there all the
@@ -384,7 +351,7 @@
 // Read reads what has come.
 func (p patient) Read(b []byte) (int, error) {
 	n, err := p.c.nc.Read(b)
-	if n > 0 || !isTimeout(err) || p.c.raw == nil || p.c.s.closing.Load() || !brick.Readable(p.c.raw) {
+	if n > 0 || !isTimeout(err) || p.c.raw == nil || p.c.s.closing.Load() || !peek.Readable(p.c.raw) {
 		return n, err
 	}
 	p.c.nc.SetReadDeadline(time.Now().Add(lookAgain))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -229,7 +229,7 @@
 		h.post(message{task: t, event: &arrowwalk.Outcome{
 			Attempt: arrowwalk.Attempt{Request: t.request.ID, Number: s.number, Node: s.member.ID},
 			Status:  r.Status, Latency: arrowwalk.Micros(latency.Microseconds()), Closed: r.Closed,
-			FleetUse: r.FleetUse, OthersUnits: r.OthersUnits,
+			FleetUse: r.FleetUse, OthersUnits: r.OthersUnits, Load: r.Load,
 		}})
 		if r.Closed {
 			return Verdict{End: Served, Tries: tries}
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -28,6 +28,7 @@
 	Closed      bool // the client has, or will have, its answer out of this attempt
 	FleetUse    float64
 	OthersUnits float64
+	Load        []float64     // the values of the brick's load report, as Settings.Reports names them; nil: none
 	Lay         time.Duration // how long the answer lay in its socket while the host stood still
 }
 
--- /dev/null
+++ b/internal/peek/peek.go
@@ -0,0 +1,74 @@
+// Package peek looks at a socket without taking anything from it.
+package peek
+
+import (
+	"io"
+	"net"
+	"syscall"
+)
+
+// Raw returns the descriptor of a connection; nil: it has none.
+func Raw(nc net.Conn) syscall.RawConn {
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
+
+// look returns what a read of one byte on fd would say now.
+func look(fd uintptr) (int, error) {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+func later(err error) bool { return err == syscall.EAGAIN || err == syscall.EINTR }
+
+// Readable tells whether a read on the socket would return at once: bytes
+// have come, or the peer has closed or broken the connection.
+func Readable(raw syscall.RawConn) bool {
+	ready := true
+	err := raw.Control(func(fd uintptr) {
+		_, err := look(fd)
+		ready = !later(err)
+	})
+	return err != nil || ready
+}
+
+// Gone tells whether the peer has closed or broken the connection, and all
+// that it sent before was read.
+func Gone(raw syscall.RawConn) bool {
+	if raw == nil {
+		return false
+	}
+	gone := false
+	err := raw.Control(func(fd uintptr) {
+		n, err := look(fd)
+		gone = err == nil && n == 0 || err != nil && !later(err)
+	})
+	return err != nil || gone
+}
+
+// Await waits, without a buffer, until there is a byte to read. io.EOF means
+// that the peer closed; the connection's read deadline holds.
+func Await(raw syscall.RawConn) error {
+	var failed error
+	err := raw.Read(func(fd uintptr) bool {
+		n, err := look(fd)
+		switch {
+		case later(err):
+			return false
+		case err != nil:
+			failed = err
+		case n == 0:
+			failed = io.EOF
+		}
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/platform/budget.go
@@ -0,0 +1,38 @@
+package platform
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+)
+
+// budget is how the limits are shared out among what uses them.
+type budget struct {
+	clients int   // connections of clients
+	bricks  int   // connections to bricks
+	bodies  int64 // bytes of clients' bodies held at once
+	heap    int64 // bytes that the runtime tries to stay under
+}
+
+// Kept back of the descriptors for the listener, discovery's watch, the
+// runtime's own and standard streams.
+const ownSockets = 24
+
+// share divides the limits. Clients hold at most a third of the descriptors for
+// requests; the rest of their part is for those that are silent or refused. A
+// brick's connection is needed for each open request at most.
+func share(l Limits) budget {
+	sockets := l.Sockets - ownSockets
+	memory := int64(l.MemoryMB * (1 << 20))
+	clients := sockets * 6 / 10
+	return budget{clients: clients, bricks: sockets - clients, bodies: memory / 8, heap: memory * 6 / 10}
+}
+
+// apply tells the runtime what it may use.
+func (b budget) apply(l Limits) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetMemoryLimit(b.heap)
+}
+
+// Limit has the runtime of this process keep the configuration's limits.
+func (c *Config) Limit() { share(c.Limits).apply(c.Limits) }
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,106 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"arrowwalk/internal/platform/discovery"
+	"arrowwalk/internal/settings"
+)
+
+// Config is what the platform tells a host at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Limits    Limits
+	Known     *discovery.List
+	Settings  *settings.Settings
+}
+
+// Limits are what a host may use of its machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// file is the configuration file's form.
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    *Limits         `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// fileMost bounds the configuration file, bytes.
+const fileMost = 16 << 20
+
+// Load reads the configuration that the variables of the platform name; an
+// error names the variable, or the file and its field.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("GW_CONFIG: it is not set; it must name the configuration file")
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	if info.Size() > fileMost {
+		return nil, fmt.Errorf("GW_CONFIG: %s: over %d bytes", path, fileMost)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	cfg, err := Parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// Parse reads a configuration. Name, listening address and discovery may be
+// left to the variables; where the file has them, it counts: it may be newer.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	f := file{Name: getenv("GW_NAME"), Listen: getenv("GW_LISTEN"), Discovery: getenv("GW_DISCOVERY")}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	cfg := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: &discovery.List{}}
+	if variable := getenv("GW_LISTEN"); variable != "" {
+		cfg.Listen = variable // where the platform's clients connect
+	}
+	for _, a := range [...]struct{ field, value string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}} {
+		if host, port, err := net.SplitHostPort(a.value); err != nil || host == "" || port == "" {
+			return nil, fmt.Errorf("%s: %q: must be HOST:PORT", a.field, a.value)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %q: must be 16 hex digits", f.Seed)
+	}
+	if f.Limits == nil {
+		return nil, fmt.Errorf("limits: missing")
+	}
+	if cfg.Limits = *f.Limits; cfg.Limits.Cores <= 0 || cfg.Limits.MemoryMB < 16 || cfg.Limits.Sockets < 64 {
+		return nil, fmt.Errorf("limits: %+v: must be cores over 0, 16 MB and 64 sockets or more", cfg.Limits)
+	}
+	if len(f.Known) > 0 {
+		if cfg.Known, err = discovery.Parse(f.Known); err != nil {
+			return nil, fmt.Errorf("known.%w", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("settings: missing")
+	}
+	cfg.Settings, err = settings.Parse(f.Settings, seed)
+	return cfg, err
+}
--- /dev/null
+++ b/internal/platform/entry/conn.go
@@ -0,0 +1,329 @@
+package entry
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"arrowwalk/internal/host"
+	"arrowwalk/internal/http1"
+	"arrowwalk/internal/peek"
+	"arrowwalk/internal/platform/exit"
+	"arrowwalk/internal/platform/giveway"
+	"arrowwalk/internal/stall/sockage"
+)
+
+// conn is one client's connection, served by one goroutine.
+type conn struct {
+	s     *Server
+	nc    net.Conn
+	raw   syscall.RawConn
+	in    *bufio.Reader // nil between requests
+	req   http1.Request
+	body  http1.Body
+	out   []byte
+	place *giveway.Entry[*conn]
+
+	mu    sync.Mutex
+	task  *host.Task // that the host decides on
+	since time.Time  // it has been there
+	left  bool       // the client has gone
+}
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
+
+func (c *conn) serve() {
+	defer c.s.wg.Done()
+	defer c.end()
+	for fresh := true; c.await(fresh) && c.serveOne(); fresh = false {
+	}
+}
+
+func (c *conn) end() {
+	c.release()
+	c.nc.Close()
+	c.s.mu.Lock()
+	c.s.table.Remove(c.place)
+	c.s.mu.Unlock()
+}
+
+// release gives the reader back while nothing is read.
+func (c *conn) release() {
+	if c.in != nil {
+		c.in.Reset(nil)
+		readers.Put(c.in)
+		c.in = nil
+	}
+	c.out, c.req = nil, http1.Request{}
+}
+
+// stage moves the connection to a stage; false: it gave way meanwhile.
+func (c *conn) stage(to giveway.Stage) bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.s.table.Move(c.place, to, c.s.now())
+	_, here := c.s.table.Stage(c.place)
+	return here
+}
+
+// speaks tells whether bytes have come that nobody has read.
+func (c *conn) speaks() bool { return c.raw != nil && peek.Readable(c.raw) && !peek.Gone(c.raw) }
+
+// await waits for a request's first byte, without a buffer.
+func (c *conn) await(fresh bool) bool {
+	if c.in != nil && c.in.Buffered() > 0 {
+		return c.stage(giveway.Reading)
+	}
+	c.release()
+	if !fresh {
+		c.nc.SetReadDeadline(time.Time{})
+		if !c.stage(giveway.Idle) {
+			return false
+		}
+	}
+	if err := peek.Await(c.raw); err != nil {
+		return false
+	}
+	if !fresh {
+		c.nc.SetReadDeadline(time.Now().Add(readMost))
+		if !c.stage(giveway.Reading) {
+			return false
+		}
+	}
+	c.in = readers.Get().(*bufio.Reader)
+	c.in.Reset(c.nc)
+	return true
+}
+
+// serveOne reads and answers one request; false: the connection ends.
+func (c *conn) serveOne() bool {
+	c.s.opt.Host.Alive()
+	if err := http1.NewReader(c.in, limits).ReadRequest(&c.req); err != nil {
+		return c.refuse(err)
+	}
+	if c.req.Method == "GET" && c.req.Target == "/healthz" {
+		return c.answer(200, "", []byte("ok\n")) && c.req.Length == 0 && !c.req.Chunked
+	}
+	var a asked
+	if err := c.s.checker.check(&c.req, &a); err != nil {
+		return c.refuse(err)
+	}
+	held, ok := c.hold()
+	if !ok {
+		wait := time.Duration(c.s.opt.Settings.MaxWait) * time.Microsecond
+		return c.write(503, c.retryAfter(wait), nil, true) && c.linger()
+	}
+	defer c.free(held)
+	body, err := c.readBody()
+	if err != nil {
+		return c.refuse(err)
+	}
+	if !c.s.ids.take(a.id) {
+		return c.refuse(bad(409, "%s %.64q: it is, or was, another request's", exit.HeaderID, a.id))
+	}
+	defer c.s.ids.done(a.id)
+	if !c.stage(giveway.Open) {
+		return false
+	}
+	return c.decide(&a, body)
+}
+
+// hold takes the memory of the request's body; false: there is none.
+func (c *conn) hold() (int64, bool) {
+	n := c.req.Length
+	if c.req.Chunked {
+		n = exit.BodyMost
+	}
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	return n, c.s.table.Hold(n)
+}
+
+func (c *conn) free(n int64) {
+	c.s.mu.Lock()
+	c.s.table.Free(n)
+	c.s.mu.Unlock()
+}
+
+// readBody reads the request's body whole.
+func (c *conn) readBody() ([]byte, error) {
+	c.body.Reset(c.in, c.req.Framing)
+	if c.body.Done() {
+		return nil, nil
+	}
+	if c.req.Expect100 && c.in.Buffered() == 0 {
+		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, err
+		}
+	}
+	if !c.req.Chunked {
+		body := make([]byte, c.req.Length)
+		_, err := io.ReadFull(&c.body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(&c.body, exit.BodyMost+1))
+	if err == nil && len(body) > exit.BodyMost {
+		err = bad(413, "body over %d bytes", exit.BodyMost)
+	}
+	return body, err
+}
+
+// ageMost is the oldest that bytes found in a socket are taken to be.
+const ageMost = 10 * time.Second
+
+// came returns when the request's last byte came, whenever it was read.
+func (c *conn) came() time.Time {
+	now := time.Now()
+	if age, ok := sockage.Age(c.raw); ok && age >= sockage.Coarse && age < ageMost {
+		return now.Add(-age)
+	}
+	return now
+}
+
+// exchange is what one request needs until its answer.
+type exchange struct {
+	task host.Task
+	call exit.Call
+}
+
+// decide hands the request to the host and passes its final word on.
+func (c *conn) decide(a *asked, body []byte) bool {
+	x := &exchange{call: exit.Call{Method: c.req.Method, Target: c.req.Target, ID: a.id, Key: a.key, Body: body}}
+	x.call.Ready(c.s.opt.Sender)
+	x.task = host.Task{Class: a.class, Volume: a.volume, Key: a.piece, HasKey: true, Units: a.units, Shard: a.shard,
+		Until: c.came().Add(a.timeout), Again: a.again, Runner: &x.call, Label: a.id, Tells: true}
+	c.s.stats.requests.Add(1)
+	if !c.enter(&x.task) {
+		return false
+	}
+	v := c.s.opt.Host.Do(&x.task)
+	c.leave()
+	defer c.s.opt.Host.Answered(&x.task)
+	switch v.End {
+	case host.Served:
+		return c.answer(200, "", x.call.Answer)
+	case host.Refused:
+		return c.answer(503, c.retryAfter(v.After), nil)
+	case host.Gone:
+		c.s.stats.gone.Add(1)
+		return false
+	}
+	return c.answer(502, "", nil)
+}
+
+// enter notes that a task waits for the host; false: the client has gone.
+func (c *conn) enter(t *host.Task) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.task, c.since = t, time.Now()
+	return !c.left
+}
+
+func (c *conn) leave() {
+	c.mu.Lock()
+	c.task = nil
+	c.mu.Unlock()
+}
+
+// lookGone tells the host where the client of a waiting task has gone.
+func (c *conn) lookGone() {
+	c.mu.Lock()
+	waits := c.task != nil && time.Since(c.since) > watchEvery
+	c.mu.Unlock()
+	if waits && peek.Gone(c.raw) {
+		c.abandon()
+	}
+}
+
+// abandon tells the host that the client has gone.
+func (c *conn) abandon() {
+	c.mu.Lock()
+	t := c.task
+	c.left = true
+	c.mu.Unlock()
+	if t != nil {
+		c.s.opt.Host.Abandon(t)
+	}
+}
+
+// retryAfter returns the header field that advises a wait; "": none.
+func (c *conn) retryAfter(wait time.Duration) string {
+	if wait <= 0 {
+		return ""
+	}
+	return "Retry-After: " + strconv.FormatFloat(wait.Seconds(), 'f', 3, 64) + "\r\n"
+}
+
+// answer writes an answer; false: the connection ends.
+func (c *conn) answer(status int, field string, body []byte) bool {
+	last := c.req.Close || c.s.closing.Load()
+	if !c.write(status, field, body, last) {
+		return false
+	}
+	if last && c.in != nil && c.in.Buffered() > 0 {
+		return c.linger()
+	}
+	return !last
+}
+
+// write writes an answer; false: it did not arrive.
+func (c *conn) write(status int, field string, body []byte, last bool) bool {
+	b := http1.AppendStatus(c.out[:0], status)
+	b = append(b, field...)
+	b = http1.AppendInt(b, "Content-Length", int64(len(body)))
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	c.out = append(b, body...)
+	c.nc.SetWriteDeadline(time.Now().Add(writeMost))
+	_, err := c.nc.Write(c.out)
+	return err == nil
+}
+
+// refuse answers what can't be read or is not allowed, and ends the connection.
+func (c *conn) refuse(err error) bool {
+	status := http1.StatusOf(err)
+	var late net.Error
+	switch {
+	case status != 0:
+	case errors.As(err, &late) && late.Timeout():
+		status = 408
+	default: // it has gone, or closed inside a request
+		return false
+	}
+	c.s.stats.bad.Add(1)
+	c.s.opt.Log.Debug("refused", "status", status, "reason", err.Error())
+	return c.write(status, "", []byte(err.Error()+"\n"), true) && c.linger()
+}
+
+// discardMost is how much of a refused client's bytes is read.
+const discardMost = 256 << 10
+
+// linger leaves the client time to read its answer: a close with unread bytes
+// would reset the connection under it. It returns false.
+func (c *conn) linger() bool {
+	if !c.stage(giveway.Closing) {
+		return false
+	}
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	until := time.Now().Add(lingerMost)
+	c.nc.SetReadDeadline(until)
+	if n, err := io.CopyN(io.Discard, c.nc, discardMost); n < discardMost || err != nil {
+		return false
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.s.quit:
+	}
+	return false
+}
--- /dev/null
+++ b/internal/platform/entry/server.go
@@ -0,0 +1,218 @@
+// Package entry is the platform's protocol towards clients: what they send is
+// checked, handed to the host, and gets one final answer.
+package entry
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arrowwalk"
+	"arrowwalk/internal/host"
+	"arrowwalk/internal/peek"
+	"arrowwalk/internal/platform/exit"
+	"arrowwalk/internal/platform/giveway"
+)
+
+// Times of connections.
+const (
+	freshMost  = 2 * time.Second        // from connecting to the end of a first request
+	readMost   = 2 * time.Second        // from a later request's first byte to its end
+	writeMost  = 2 * time.Second        // for an answer that its client does not read
+	lingerMost = 500 * time.Millisecond // that a refused client has to read its answer
+	watchEvery = 50 * time.Millisecond  // looks whether waiting clients have gone
+)
+
+// Options of a Server. The caller keeps Host and Sender, and closes them after
+// Stop.
+type Options struct {
+	Host      *host.Host
+	Sender    *exit.Sender
+	Settings  *arrowwalk.Settings
+	Log       *slog.Logger
+	Most      int   // connections
+	BodyBytes int64 // of bodies held at once
+	NoYield   bool  // silent connections are kept; for proofs that must fail
+}
+
+// Server serves clients on one listener.
+type Server struct {
+	opt     Options
+	ln      net.Listener
+	checker *checker
+	ids     ids
+	stats   counters
+	closing atomic.Bool
+	quit    chan struct{}
+	wg      sync.WaitGroup
+
+	mu    sync.Mutex
+	table *giveway.Table[*conn]
+	base  time.Time
+}
+
+// counters are what the front counts.
+type counters struct{ requests, bad, gone, yielded, turned atomic.Uint64 }
+
+// Stats are counts since the start.
+type Stats struct {
+	Requests uint64 // that were handed to the host
+	Bad      uint64 // that were refused as they came
+	Gone     uint64 // whose clients left
+	Yielded  uint64 // connections that gave way for others
+	Turned   uint64 // connections turned away, with nobody to give way
+	Open     int
+	Conns    int
+}
+
+// Stats returns the counts so far.
+func (s *Server) Stats() Stats {
+	c := &s.stats
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{c.requests.Load(), c.bad.Load(), c.gone.Load(), c.yielded.Load(), c.turned.Load(),
+		s.table.In(giveway.Open), s.table.Count()}
+}
+
+// Start serves ln until Stop.
+func Start(ln net.Listener, opt Options) *Server {
+	s := &Server{opt: opt, ln: ln, checker: newChecker(opt.Settings), ids: ids{open: map[string]bool{}},
+		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.BodyBytes), base: time.Now()}
+	s.wg.Add(2)
+	go s.accept()
+	go s.watch()
+	return s
+}
+
+func (s *Server) now() int64 { return time.Since(s.base).Microseconds() }
+
+// accept takes connections until the listener is closed.
+func (s *Server) accept() {
+	defer s.wg.Done()
+	for {
+		nc, err := s.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors: one gives way, or time does
+			s.opt.Log.Warn("accept failed", "error", err)
+			s.mu.Lock()
+			s.makeRoom(true)
+			s.mu.Unlock()
+			select {
+			case <-time.After(5 * time.Millisecond):
+			case <-s.quit:
+				return
+			}
+			continue
+		}
+		s.open(nc)
+	}
+}
+
+// open serves a connection, or closes it where none gives way for it.
+func (s *Server) open(nc net.Conn) {
+	s.mu.Lock()
+	s.makeRoom(false)
+	if s.table.Full() {
+		s.mu.Unlock()
+		s.stats.turned.Add(1)
+		nc.Close()
+		return
+	}
+	c := &conn{s: s, nc: nc, raw: peek.Raw(nc)}
+	c.place = s.table.Add(c, s.now())
+	s.wg.Add(1)
+	s.mu.Unlock()
+	nc.SetReadDeadline(time.Now().Add(freshMost))
+	go c.serve()
+}
+
+// makeRoom closes what gives way: one connection at the bound, or where must
+// is set; below it, all that were idle for long. The caller holds s.mu.
+func (s *Server) makeRoom(must bool) {
+	full := must || s.table.Full()
+	s.table.Victims(s.now(), func(e *giveway.Entry[*conn]) bool {
+		stage, _ := s.table.Stage(e)
+		if s.opt.NoYield && stage == giveway.Fresh {
+			return true
+		}
+		if stage != giveway.Closing && e.Conn.speaks() {
+			return true // it has sent what nobody has read yet
+		}
+		s.table.Remove(e)
+		e.Conn.nc.Close()
+		s.stats.yielded.Add(1)
+		return !full
+	})
+}
+
+// watch looks whether the clients of open requests are still there: nobody
+// reads their connections meanwhile.
+func (s *Server) watch() {
+	defer s.wg.Done()
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	var waiting []*conn
+	for {
+		select {
+		case <-s.quit:
+			return
+		case <-tick.C:
+		}
+		waiting = waiting[:0]
+		s.mu.Lock()
+		s.table.Each(giveway.Open, func(e *giveway.Entry[*conn]) { waiting = append(waiting, e.Conn) })
+		s.mu.Unlock()
+		for _, c := range waiting {
+			c.lookGone()
+		}
+		clear(waiting)
+	}
+}
+
+// Drain has every answer from now on tell its client to connect anew.
+func (s *Server) Drain() { s.closing.Store(true) }
+
+// CloseIdle closes the connections between requests on which nothing has come.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, stage := range [...]giveway.Stage{giveway.Idle, giveway.Fresh} {
+		s.table.Each(stage, func(e *giveway.Entry[*conn]) {
+			if !e.Conn.speaks() {
+				s.table.Remove(e)
+				e.Conn.nc.Close()
+			}
+		})
+	}
+}
+
+// CloseListener takes no more connections.
+func (s *Server) CloseListener() { s.ln.Close() }
+
+// Conns returns how many connections are left.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Count()
+}
+
+// Stop ends the server at once; what is open is cut.
+func (s *Server) Stop() {
+	s.closing.Store(true)
+	s.ln.Close()
+	close(s.quit)
+	s.mu.Lock()
+	for stage := giveway.Fresh; stage <= giveway.Closing; stage++ {
+		s.table.Each(stage, func(e *giveway.Entry[*conn]) {
+			e.Conn.nc.Close()
+			e.Conn.abandon()
+		})
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/internal/platform/giveway/giveway.go
@@ -0,0 +1,141 @@
+// Package giveway decides which client's connection gives way when descriptors
+// run short, and whether there is memory for one more body. It is free of I/O
+// and clock: times are its caller's, in microseconds.
+package giveway
+
+import "container/list"
+
+// Stage is what a connection is doing.
+type Stage int
+
+const (
+	// Fresh connections have not sent a whole request yet, ever.
+	Fresh Stage = iota
+	// Idle connections had an answer and are between requests.
+	Idle
+	// Reading connections are inside a request that is not their first.
+	Reading
+	// Open connections have a request that was read and is owed its answer:
+	// they never give way.
+	Open
+	// Closing connections had their last answer and are being closed.
+	Closing
+	stages
+)
+
+// IdleLeast is how long a connection must have been without a request before
+// it may be closed, microseconds (the platform's page of days).
+const IdleLeast = 2_000_000
+
+// Table holds the connections by stage, each list by how long they have been
+// in it. It is not safe for concurrent use.
+type Table[C any] struct {
+	most  int // connections
+	easy  int // from this number on idle ones give way
+	bytes int64
+	held  int64
+	lists [stages]list.List
+	count int
+}
+
+// Entry is a connection's place in a Table.
+type Entry[C any] struct {
+	Conn  C
+	stage Stage
+	since int64
+	place *list.Element
+}
+
+// NewTable returns a Table of at most most connections and bytes of bodies.
+func NewTable[C any](most int, bytes int64) *Table[C] {
+	return &Table[C]{most: most, easy: most / 2, bytes: bytes}
+}
+
+// Add takes a new connection in.
+func (t *Table[C]) Add(c C, now int64) *Entry[C] {
+	e := &Entry[C]{Conn: c, stage: Fresh, since: now}
+	e.place = t.lists[Fresh].PushBack(e)
+	t.count++
+	return e
+}
+
+// Move changes a connection's stage.
+func (t *Table[C]) Move(e *Entry[C], to Stage, now int64) {
+	if e.place == nil {
+		return
+	}
+	t.lists[e.stage].Remove(e.place)
+	e.stage, e.since = to, now
+	e.place = t.lists[to].PushBack(e)
+}
+
+// Remove forgets a connection; it may be called twice.
+func (t *Table[C]) Remove(e *Entry[C]) {
+	if e.place == nil {
+		return
+	}
+	t.lists[e.stage].Remove(e.place)
+	e.place = nil
+	t.count--
+}
+
+// Stage returns what a connection is doing; false: it was removed.
+func (t *Table[C]) Stage(e *Entry[C]) (Stage, bool) { return e.stage, e.place != nil }
+
+// Count returns how many connections there are.
+func (t *Table[C]) Count() int { return t.count }
+
+// In returns how many connections are in a stage.
+func (t *Table[C]) In(s Stage) int { return t.lists[s].Len() }
+
+// Victims calls yield with the connections that should give way for one more,
+// the first choice first, until it returns false. Below half of what may be
+// held there are none; from there on, those idle for long; at the bound, also
+// those that are being closed, and, oldest first, those that never sent a whole
+// request, then those that stopped inside one. One with an open request never
+// gives way.
+func (t *Table[C]) Victims(now int64, yield func(*Entry[C]) bool) {
+	if t.count < t.easy {
+		return
+	}
+	order := []Stage{Idle}
+	if t.count >= t.most {
+		order = []Stage{Closing, Idle, Fresh, Reading}
+	}
+	for _, stage := range order {
+		for at := t.lists[stage].Front(); at != nil; {
+			e := at.Value.(*Entry[C])
+			at = at.Next() // yield may remove e
+			if stage == Idle && now-e.since < IdleLeast {
+				break
+			}
+			if !yield(e) {
+				return
+			}
+		}
+	}
+}
+
+// Full tells whether no more connections may be held.
+func (t *Table[C]) Full() bool { return t.count >= t.most }
+
+// Hold takes n bytes of a body; false: memory is short, and who asks gives way.
+func (t *Table[C]) Hold(n int64) bool {
+	if t.held+n > t.bytes {
+		return false
+	}
+	t.held += n
+	return true
+}
+
+// Free gives n bytes back.
+func (t *Table[C]) Free(n int64) { t.held -= n }
+
+// Each calls do with every connection in a stage; do may move or remove it.
+func (t *Table[C]) Each(s Stage, do func(*Entry[C])) {
+	for at := t.lists[s].Front(); at != nil; {
+		e := at.Value.(*Entry[C])
+		at = at.Next()
+		do(e)
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,168 @@
+// Package platform runs the host on the users' platform: its configuration,
+// limits and signals, with the platform's protocol towards clients (entry),
+// bricks (exit) and discovery (discovery). It decides nothing that the module
+// decides.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"arrowwalk"
+	"arrowwalk/internal/host"
+	"arrowwalk/internal/platform/discovery"
+	"arrowwalk/internal/platform/entry"
+	"arrowwalk/internal/platform/exit"
+)
+
+// Times of a planned restart, from its signal on. For the first few tenths of
+// a second new connections go on coming; what is taken later than lastLook may
+// not have its answer when the process is killed.
+const (
+	idleUntil   = 450 * time.Millisecond // connections between requests are kept so long
+	listenUntil = 650 * time.Millisecond // new connections are taken so long
+	lookEvery   = 5 * time.Millisecond
+	answerSpare = 300 * time.Millisecond // past the longest deadline
+	sweepEvery  = time.Second
+	idlePart    = 0.8 // of the settings' idle time, for which connections are reused
+)
+
+// Platform is a running host.
+type Platform struct {
+	cfg    *Config
+	log    *slog.Logger
+	host   *host.Host
+	sender *exit.Sender
+	server *entry.Server
+	follow *discovery.Follower
+	quit   chan struct{}
+	wg     sync.WaitGroup
+}
+
+// Guards that can be taken out, for proofs that must fail.
+type Guards struct {
+	NoYield   bool
+	KeepDirty bool
+}
+
+// Start serves as cfg says until Stop.
+func Start(cfg *Config, log *slog.Logger, without Guards) (*Platform, error) {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	set, b := cfg.Settings, share(cfg.Limits)
+	h, err := host.New(host.Options{Settings: set.Settings, Log: log})
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	if len(set.Unknown) > 0 {
+		log.Info("settings that this host does not know are passed over", "keys", set.Unknown)
+	}
+	p := &Platform{cfg: cfg, log: log, host: h, quit: make(chan struct{})}
+	p.sender = exit.NewSender(exit.Options{Host: h, Reports: set.Reports, DialTimeout: span(set.DialTimeout, time.Second),
+		IdleFor: time.Duration(idlePart * float64(span(set.IdleClose, 10*time.Second))), Most: b.bricks,
+		Longest: p.longest(), KeepDirty: without.KeepDirty})
+	p.follow = discovery.Start(cfg.Known, discovery.Options{Address: cfg.Discovery, Zones: discovery.NewZones(set.Zones),
+		Log: log, Told: h.Nodes, Reached: p.sender.Keep})
+	p.server = entry.Start(ln, entry.Options{Host: h, Sender: p.sender, Settings: &p.cfg.Settings.Settings, Log: log,
+		Most: b.clients, BodyBytes: b.bodies, NoYield: without.NoYield})
+	p.wg.Add(1)
+	go p.sweep()
+	return p, nil
+}
+
+// span returns a time of the settings, or another where they do not tell.
+func span(t arrowwalk.Micros, otherwise time.Duration) time.Duration {
+	if t <= 0 {
+		return otherwise
+	}
+	return time.Duration(t) * time.Microsecond
+}
+
+// longest returns the longest that a client waits.
+func (p *Platform) longest() time.Duration {
+	var most arrowwalk.Micros
+	for _, c := range p.cfg.Settings.Classes {
+		most = max(most, c.Deadline)
+	}
+	return time.Duration(most) * time.Microsecond
+}
+
+// Addr returns the address that clients connect to.
+func (p *Platform) Addr() string { return p.cfg.Listen }
+
+// sweep closes the connections to bricks that were idle for too long.
+func (p *Platform) sweep() {
+	defer p.wg.Done()
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.quit:
+			return
+		case <-tick.C:
+			p.sender.Sweep()
+		}
+	}
+}
+
+// Reload follows what a new configuration changes: discovery's address. What
+// else it has is for the next start.
+func (p *Platform) Reload(cfg *Config) {
+	if p.follow.Move(cfg.Discovery) {
+		p.log.Info("discovery is asked at another address", "address", cfg.Discovery)
+	}
+}
+
+// Stop ends the host as a planned restart does: connections go on being taken
+// and requests served for as long as clients may not know, then what is taken
+// gets its answer, within the longest deadline.
+func (p *Platform) Stop(ctx context.Context) {
+	began := time.Now()
+	p.server.Drain()
+	p.wait(ctx, began.Add(idleUntil), nil)
+	p.server.CloseIdle()
+	p.wait(ctx, began.Add(listenUntil), nil)
+	p.server.CloseListener()
+	p.wait(ctx, began.Add(listenUntil+p.longest()+answerSpare), func() bool {
+		p.server.CloseIdle()
+		return p.server.Conns() == 0
+	})
+	p.server.Stop()
+	p.follow.Stop()
+	p.host.Close()
+	p.sender.Close()
+	close(p.quit)
+	p.wg.Wait()
+}
+
+// wait waits until a time, or until done says so; nil: never.
+func (p *Platform) wait(ctx context.Context, until time.Time, done func() bool) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for time.Now().Before(until) {
+		if done != nil && done() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Report returns what an operator would look at first.
+func (p *Platform) Report() []any {
+	s, h := p.server.Stats(), p.host.Stats()
+	open, idle, dialed := p.sender.Counts()
+	return []any{"requests", s.Requests, "bad", s.Bad, "gone", s.Gone, "yielded", s.Yielded, "turned", s.Turned,
+		"open", s.Open, "conns", s.Conns, "brick_conns", open, "brick_idle", idle, "dialed", dialed,
+		"ended", h.Ended, "attempts", h.Attempts, "stalls", h.Stalls, "stall_max", h.StallMax, "step_mean", h.StepMean}
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package wire
+// Package settings reads the settings that users hand an instance at its start,
+// for the simulator's adapter and for the host on their platform alike.
+package settings
 
 import (
 	"encoding/json"
@@ -7,13 +9,35 @@
 	"arrowwalk"
 )
 
-// facts mirrors the settings text; keys that it lacks are passed over.
+// Settings are the module's settings, and what the host around it goes by.
+type Settings struct {
+	arrowwalk.Settings
+	Zones       []string
+	DialTimeout arrowwalk.Micros // a connection not made by then failed; 0: not told
+	IdleClose   arrowwalk.Micros // machines close connections idle for so long; 0: not told
+	MaxOpen     int              // requests that may be open; 0: not told
+	Unknown     []string         // paths of keys that this program does not know
+}
+
+// facts mirrors the settings text; keys that it lacks are passed over. Those
+// that end in Known are read by nobody here: the bench and its report use them.
 type facts struct {
 	PeersTotal int `json:"peersTotal"`
 	Ordinal    int `json:"ordinal"`
 	Zone       int `json:"zone"`
 	PeriodUs   int64
 	Discovery  string
+	Zones      []string
+
+	Blend         known
+	Charges       known
+	Clients       known
+	KindOfService known
+	Kinds         known
+	Layer         known
+	Layers        known
+	WeightKind    known
+
 	Categories []struct {
 		Name       string
 		AimUs      int64
@@ -45,12 +69,21 @@
 		Probing         bool
 		Cancel          bool
 		ParallelTries   bool
+
+		ConnectTimeoutUs int64
+		IdleCloseUs      int64
+		MaxOpen          int
+		CPUUsPerRequest  known `json:"cpuUsPerRequest"`
+		CPUUsPerS        known `json:"cpuUsPerS"`
+		Multiplex        known
+		PeerMessages     known
 	}
 	Reporting struct {
 		Fields []string
 		How    string
 	}
 	Rules struct {
+		AnswerSlackUs  known
 		AskEveryUs     int64
 		ColdFrom       float64
 		WarmWithinUs   int64
@@ -74,6 +107,12 @@
 	}
 }
 
+// known is a value that the program knows of and has no use for.
+type known struct{}
+
+// UnmarshalJSON passes over any value.
+func (*known) UnmarshalJSON([]byte) error { return nil }
+
 var (
 	repeats = map[string]arrowwalk.Repeat{
 		"read_like": arrowwalk.Safe, "idempotency_key": arrowwalk.Keyed, "non_idempotent": arrowwalk.Unsafe,
@@ -83,12 +122,22 @@
 	}
 )
 
-// parseSettings reads the settings of one instance.
-func parseSettings(text string, seed uint64) (arrowwalk.Settings, error) {
+// Parse reads the settings of one instance; an error names the field.
+func Parse(text []byte, seed uint64) (*Settings, error) {
 	var f facts
-	if err := json.Unmarshal([]byte(text), &f); err != nil {
-		return arrowwalk.Settings{}, fmt.Errorf("settings: %w", err)
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	set, err := f.module(seed)
+	if err != nil {
+		return nil, err
 	}
+	return &Settings{Settings: set, Zones: f.Zones, DialTimeout: arrowwalk.Micros(f.Limits.ConnectTimeoutUs),
+		IdleClose: arrowwalk.Micros(f.Limits.IdleCloseUs), MaxOpen: f.Limits.MaxOpen, Unknown: unknown(text)}, nil
+}
+
+// module returns what the module is told.
+func (f *facts) module(seed uint64) (arrowwalk.Settings, error) {
 	s := arrowwalk.Settings{
 		Seed: seed, Host: f.Ordinal, Hosts: f.PeersTotal, Zone: f.Zone, Shards: f.FamilyInfo.Shards,
 		Tick: arrowwalk.Micros(f.PeriodUs), Subscribe: f.Discovery == "subscribe",
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"arrowwalk"
+	"arrowwalk/internal/settings"
 )
 
 // Item is one event line: an instance's start (Settings set), its end (Stop)
@@ -107,11 +108,12 @@
 		seed := f.natural()
 		text := f.rest()
 		if f.err == nil {
-			s, err := parseSettings(text, seed)
+			s, err := settings.Parse([]byte(text), seed)
 			if err != nil {
 				f.err = err
+			} else {
+				it.Settings = &s.Settings
 			}
-			it.Settings = &s
 		}
 	case "UPDATE":
 		list = &arrowwalk.NodeList{Kind: listKind(f), Version: f.integer()}
