--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -204,3 +205,37 @@
 		})
 	}
 }
+
+// Without each guard of the platform's host the proof sees it: a request hidden
+// in a body, an answer to another request, silent connections that are kept.
+func TestPlatformSeesMissingGuards(t *testing.T) {
+	for guard, says := range map[string]string{"framing": "stranger90", "dirty": "wrong bytes", "silent": "a silent connection is kept"} {
+		t.Run(guard, func(t *testing.T) {
+			t.Parallel()
+			good, out := play(t, "platform", func(o *prove.Options) { o.Guard = guard })
+			if good || !strings.Contains(out, says) {
+				t.Errorf("the proof did not see it:\n%s", out)
+			}
+		})
+	}
+}
+
+// The platform's host ends with 2 and one line that names what is wrong.
+func TestPlatformRefusesAWrongStart(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"x"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for config, says := range map[string]string{"": "GW_CONFIG", path + ".lost": "config.json.lost", path: "seed"} {
+		c := command(ctx, "platform")
+		c.Env = append(c.Env, "GW_CONFIG="+config)
+		var log bytes.Buffer
+		c.Stderr = &log
+		err := c.Run()
+		if c.ProcessState.ExitCode() != 2 || strings.Count(log.String(), "\n") != 1 || !strings.Contains(log.String(), says) {
+			t.Errorf("%q: %v, %q", config, err, log.String())
+		}
+	}
+}
--- a/cmd/arrowwalk/platform.go
+++ b/cmd/arrowwalk/platform.go
@@ -10,14 +10,16 @@
 	"arrowwalk/internal/platform"
 )
 
-type platformCmd struct{}
+type platformCmd struct {
+	DropGuard string `hidden:"" enum:",framing,dirty,silent" default:"" help:"Take a guard out, so that a proof is seen to fail."`
+}
 
 // exitBadStart is the exit code where the platform started a host wrongly.
 const exitBadStart = 2
 
 // Run serves on the users' platform until SIGTERM; SIGHUP reads the
 // configuration again.
-func (*platformCmd) Run(g *globals) error {
+func (c *platformCmd) Run(g *globals) error {
 	signals := make(chan os.Signal, 8) // before all else: a signal at the start ends nothing
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	cfg, err := platform.Load(os.Getenv)
@@ -26,7 +28,7 @@
 		os.Exit(exitBadStart)
 	}
 	cfg.Limit()
-	p, err := platform.Start(cfg, g.log, platform.Guards{})
+	p, err := platform.Start(cfg, g.log, platform.Guards{DoubleFraming: c.DropGuard == "framing", KeepDirty: c.DropGuard == "dirty", NoYield: c.DropGuard == "silent"})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "arrowwalk platform:", err)
 		os.Exit(exitBadStart)
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -23,6 +23,7 @@
 	Buffer      int           // bytes of a connection's read buffer; 0: 16 KiB
 	Most        int           // connections open at once, idle ones that give way included; 0: any number
 	Limits      http1.Limits  // of heads that are read
+	Blind       bool          // idle connections are used without a look; for proofs that must fail
 }
 
 // Pool keeps connections. It is safe for concurrent use.
@@ -138,7 +139,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.used) < p.opt.IdleFor && c.Quiet() {
+		if time.Since(c.used) < p.opt.IdleFor && (p.opt.Blind || c.Quiet()) {
 			return c, nil
 		}
 		p.Drop(c)
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -14,6 +14,9 @@
 	LineBytes int // longest line, request line included
 	HeadBytes int // whole head, in bytes
 	Fields    int // header fields
+	// DoubleFraming takes a length beside a transfer coding; for proofs that
+	// must fail.
+	DoubleFraming bool
 }
 
 // DefaultLimits are the bounds for a message from a stranger.
@@ -134,7 +137,7 @@
 	if q.Fields, err = parseFields(rest, q.Fields, r.limits.Fields); err != nil {
 		return err
 	}
-	return q.settle()
+	return q.settle(r.limits.DoubleFraming)
 }
 
 // ReadResponse reads a response's head to a request with the given method.
@@ -303,7 +306,7 @@
 }
 
 // frame reads the body's framing out of the fields (RFC 9112 section 6.3).
-func frame(fields Fields, bad int) (Framing, error) {
+func frame(fields Fields, bad int, double bool) (Framing, error) {
 	var f Framing
 	for i := range fields {
 		name, value := fields[i].Name, fields[i].Value
@@ -328,7 +331,10 @@
 		}
 	}
 	if f.Sized && f.Chunked {
-		return f, refuse(bad, "Content-Length beside Transfer-Encoding")
+		if !double {
+			return f, refuse(bad, "Content-Length beside Transfer-Encoding")
+		}
+		f.Length = 0
 	}
 	return f, nil
 }
@@ -346,9 +352,9 @@
 	return strconv.ParseInt(s, 10, 64)
 }
 
-func (q *Request) settle() error {
+func (q *Request) settle(double bool) error {
 	var err error
-	if q.Framing, err = frame(q.Fields, 400); err != nil {
+	if q.Framing, err = frame(q.Fields, 400, double); err != nil {
 		return err
 	}
 	if q.Chunked && q.Minor == 0 {
@@ -372,7 +378,7 @@
 
 func (p *Response) settle(method string) error {
 	var err error
-	if p.Framing, err = frame(p.Fields, 502); err != nil {
+	if p.Framing, err = frame(p.Fields, 502, false); err != nil {
 		return err
 	}
 	if c, ok := p.Fields.Lookup("Connection"); ok {
--- /dev/null
+++ b/internal/platform/entry/check_test.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"arrowwalk"
+	"arrowwalk/internal/http1"
+)
+
+func testSettings() *arrowwalk.Settings {
+	return &arrowwalk.Settings{Hosts: 3, Shards: 9, MostUnits: 6, MeanUnits: 2, MaxAttempts: 4, Tick: 2000, MaxWait: 500_000,
+		Classes: []arrowwalk.Class{{Name: "fetch-text", Aim: 400_000, Deadline: 2_500_000, Worth: 2},
+			{Name: "save-paper", Aim: 500_000, Deadline: 2_500_000, Worth: 2, Repeat: arrowwalk.Keyed, Scope: arrowwalk.ScopeShard,
+				Window: 4_000_000, Writes: true}},
+		Plans: []arrowwalk.Plan{{Name: "basic", Rate: 100, Weight: 1, WorthFactor: 1}, {Name: "campus", Rate: 100, Weight: 1, WorthFactor: 1}}}
+}
+
+const piece = "/0000000000000abc/ffffffffffffffff"
+
+func fields(over ...string) http1.Fields {
+	f := http1.Fields{{Name: "X-Request-ID", Value: "9b1f"}, {Name: "X-Plan", Value: "campus"}, {Name: "X-Timeout", Value: "0.480"},
+		{Name: "X-IO", Value: "units=2,shard=5,hosts=3"}, {Name: "Idempotency-Key", Value: "k"}}
+	for i := 0; i+1 < len(over); i += 2 {
+		kept := f[:0:0]
+		for _, one := range f {
+			if one.Name != over[i] {
+				kept = append(kept, one)
+			}
+		}
+		if f = kept; over[i+1] != "" {
+			f = append(f, http1.Field{Name: over[i], Value: over[i+1]})
+		}
+	}
+	return f
+}
+
+func TestCheckReadsWhatIsSent(t *testing.T) {
+	c := newChecker(testSettings())
+	var a asked
+	if err := c.check(&http1.Request{Method: "PUT", Target: "/save-paper" + piece + "?x=1", Fields: fields("X-Retried", "1")}, &a); err != nil {
+		t.Fatal(err)
+	}
+	want := asked{id: "9b1f", key: "k", class: 1, volume: arrowwalk.Volume{ID: 0xabc, Plan: 1, Hosts: 3}, piece: 1<<64 - 1,
+		timeout: 480 * time.Millisecond, units: 2, shard: 5, again: true}
+	if a != want {
+		t.Errorf("%+v, want %+v", a, want)
+	}
+	if err := c.check(&http1.Request{Method: "GET", Target: "/fetch-text" + piece, Fields: fields("X-IO", "hosts=1, shard=-1,new=7,units=1.5", "X-Timeout", "99", "Idempotency-Key", "")}, &a); err != nil {
+		t.Fatal(err)
+	}
+	if a.shard != -1 || a.units != 1.5 || a.timeout != 2500*time.Millisecond || a.again {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Each thing that can't be is refused with the status and the part's name.
+func TestCheckNamesWhatIsWrong(t *testing.T) {
+	c := newChecker(testSettings())
+	for _, w := range []struct {
+		name, method, target string
+		fields               http1.Fields
+		framing              http1.Framing
+		status               int
+		says                 string
+	}{
+		{"class", "GET", "/other" + piece, fields(), http1.Framing{}, 404, "other"},
+		{"path", "GET", "/fetch-text/1/2", fields(), http1.Framing{}, 404, "16 hex"},
+		{"absolute", "GET", "http://h/fetch-text" + piece, fields(), http1.Framing{}, 404, "path"},
+		{"signed hex", "GET", "/fetch-text/+000000000000abc/ffffffffffffffff", fields(), http1.Framing{}, 404, "16 hex"},
+		{"method", "PUT", "/fetch-text" + piece, fields(), http1.Framing{}, 405, "PUT"},
+		{"body of a read", "GET", "/fetch-text" + piece, fields(), http1.Framing{Length: 1, Sized: true}, 400, "no body"},
+		{"too large", "PUT", "/save-paper" + piece, fields(), http1.Framing{Length: 65<<10 + 1, Sized: true}, 413, "Content-Length"},
+		{"no id", "GET", "/fetch-text" + piece, fields("X-Request-ID", ""), http1.Framing{}, 400, "X-Request-ID"},
+		{"long id", "GET", "/fetch-text" + piece, fields("X-Request-ID", strings.Repeat("x", 65)), http1.Framing{}, 400, "X-Request-ID"},
+		{"two ids", "GET", "/fetch-text" + piece, append(fields(), http1.Field{Name: "x-request-id", Value: "b"}), http1.Framing{}, 400, "X-Request-ID"},
+		{"plan", "GET", "/fetch-text" + piece, fields("X-Plan", "gold"), http1.Framing{}, 400, "gold"},
+		{"no key", "PUT", "/save-paper" + piece, fields("Idempotency-Key", ""), http1.Framing{}, 400, "Idempotency-Key"},
+		{"time", "GET", "/fetch-text" + piece, fields("X-Timeout", "soon"), http1.Framing{}, 400, "X-Timeout"},
+		{"negative time", "GET", "/fetch-text" + piece, fields("X-Timeout", "-1"), http1.Framing{}, 400, "X-Timeout"},
+		{"endless time", "GET", "/fetch-text" + piece, fields("X-Timeout", "Inf"), http1.Framing{}, 400, "X-Timeout"},
+		{"no units", "GET", "/fetch-text" + piece, fields("X-IO", "shard=1,hosts=1"), http1.Framing{}, 400, "X-IO"},
+		{"units twice", "GET", "/fetch-text" + piece, fields("X-IO", "units=1,units=1,units=1"), http1.Framing{}, 400, "X-IO"},
+		{"units", "GET", "/fetch-text" + piece, fields("X-IO", "units=7,shard=1,hosts=1"), http1.Framing{}, 400, "units=7"},
+		{"no number", "GET", "/fetch-text" + piece, fields("X-IO", "units=NaN,shard=1,hosts=1"), http1.Framing{}, 400, "NaN"},
+		{"shard", "GET", "/fetch-text" + piece, fields("X-IO", "units=1,shard=9,hosts=1"), http1.Framing{}, 400, "shard=9"},
+		{"hosts", "GET", "/fetch-text" + piece, fields("X-IO", "units=1,shard=1,hosts=0"), http1.Framing{}, 400, "hosts=0"},
+	} {
+		var a asked
+		err := c.check(&http1.Request{Method: w.method, Target: w.target, Fields: w.fields, Framing: w.framing}, &a)
+		if err == nil || http1.StatusOf(err) != w.status || !strings.Contains(err.Error(), w.says) {
+			t.Errorf("%s: %v, want %d and %q", w.name, err, w.status, w.says)
+		}
+	}
+}
+
+// An id is new until its request is over, and for a while after; what is
+// remembered is bounded.
+func TestIDsAreUsedOnce(t *testing.T) {
+	i := ids{open: map[string]bool{}}
+	if !i.take("a") || i.take("a") {
+		t.Error("an open id is taken twice")
+	}
+	i.done("a")
+	if i.take("a") {
+		t.Error("an id is taken again right after its answer")
+	}
+	for n := range 3 * recentMost {
+		id := strings.Repeat("x", n%7) + time.Duration(n).String()
+		if !i.take(id) {
+			t.Fatalf("id %s is not new", id)
+		}
+		i.done(id)
+	}
+	if len(i.open) > recentMost || !i.take("a") {
+		t.Errorf("%d ids are remembered", len(i.open))
+	}
+}
+
+func FuzzCheck(f *testing.F) {
+	f.Add("PUT", "/save-paper"+piece, "units=2,shard=5,hosts=3", "0.48")
+	f.Add("GET", "/fetch-text/../x", "units=,=,shard", "1e9")
+	c := newChecker(testSettings())
+	f.Fuzz(func(t *testing.T, method, target, io, wait string) {
+		var a asked
+		if c.check(&http1.Request{Method: method, Target: target, Fields: fields("X-IO", io, "X-Timeout", wait)}, &a) != nil {
+			return
+		}
+		if a.units <= 0 || a.units > 6 || a.shard < -1 || a.shard > 8 || a.volume.Hosts < 1 || a.volume.Hosts > 3 || a.timeout < 0 || a.timeout > 2500*time.Millisecond {
+			t.Errorf("%+v of %q %q", a, io, wait)
+		}
+	})
+}
--- a/internal/platform/entry/conn.go
+++ b/internal/platform/entry/conn.go
@@ -103,7 +103,7 @@
 // serveOne reads and answers one request; false: the connection ends.
 func (c *conn) serveOne() bool {
 	c.s.opt.Host.Alive()
-	if err := http1.NewReader(c.in, limits).ReadRequest(&c.req); err != nil {
+	if err := http1.NewReader(c.in, c.s.limits).ReadRequest(&c.req); err != nil {
 		return c.refuse(err)
 	}
 	if c.req.Method == "GET" && c.req.Target == "/healthz" {
--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -12,6 +12,7 @@
 
 	"arrowwalk"
 	"arrowwalk/internal/host"
+	"arrowwalk/internal/http1"
 	"arrowwalk/internal/peek"
 	"arrowwalk/internal/platform/exit"
 	"arrowwalk/internal/platform/giveway"
@@ -35,7 +36,9 @@
 	Log       *slog.Logger
 	Most      int   // connections
 	BodyBytes int64 // of bodies held at once
-	NoYield   bool  // silent connections are kept; for proofs that must fail
+	// NoYield keeps silent connections, DoubleFraming takes a length beside a
+	// transfer coding; for proofs that must fail.
+	NoYield, DoubleFraming bool
 }
 
 // Server serves clients on one listener.
@@ -43,6 +46,7 @@
 	opt     Options
 	ln      net.Listener
 	checker *checker
+	limits  http1.Limits
 	ids     ids
 	stats   counters
 	closing atomic.Bool
@@ -81,12 +85,17 @@
 func Start(ln net.Listener, opt Options) *Server {
 	s := &Server{opt: opt, ln: ln, checker: newChecker(opt.Settings), ids: ids{open: map[string]bool{}},
 		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.BodyBytes), base: time.Now()}
+	s.limits = limits
+	s.limits.DoubleFraming = opt.DoubleFraming
 	s.wg.Add(2)
 	go s.accept()
 	go s.watch()
 	return s
 }
 
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
 func (s *Server) now() int64 { return time.Since(s.base).Microseconds() }
 
 // accept takes connections until the listener is closed.
@@ -127,7 +136,9 @@
 	c.place = s.table.Add(c, s.now())
 	s.wg.Add(1)
 	s.mu.Unlock()
-	nc.SetReadDeadline(time.Now().Add(freshMost))
+	if !s.opt.NoYield {
+		nc.SetReadDeadline(time.Now().Add(freshMost))
+	}
 	go c.serve()
 }
 
--- a/internal/platform/exit/exit.go
+++ b/internal/platform/exit/exit.go
@@ -58,7 +58,7 @@
 // NewSender returns a Sender without connections.
 func NewSender(opt Options) *Sender {
 	return &Sender{opt: opt, pool: conns.NewPool(conns.Options{IdleEach: opt.Most, IdleFor: opt.IdleFor,
-		DialTimeout: opt.DialTimeout, Buffer: 2 << 10, Most: opt.Most, Limits: limits})}
+		DialTimeout: opt.DialTimeout, Buffer: 2 << 10, Most: opt.Most, Limits: limits, Blind: opt.KeepDirty})}
 }
 
 // Keep closes the idle connections to all addresses but those given.
--- /dev/null
+++ b/internal/platform/exit/exit_test.go
@@ -0,0 +1,241 @@
+package exit
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"arrowwalk"
+	"arrowwalk/internal/host"
+	"arrowwalk/internal/http1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newHost(t *testing.T) *host.Host {
+	t.Helper()
+	h, err := host.New(host.Options{Settings: arrowwalk.Settings{Hosts: 1, MaxAttempts: 1,
+		Classes: []arrowwalk.Class{{Name: "r", Aim: 1000, Deadline: 1000}}, Plans: []arrowwalk.Plan{{Name: "p"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Close)
+	return h
+}
+
+// brick answers the requests of each connection with the texts, in turn, then
+// leaves the connection open, or closes it where hangUp is set. It returns its
+// address, and the heads that it saw.
+func brick(t *testing.T, hangUp bool, texts ...string) (string, chan http1.Request) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(chan http1.Request, 100)
+	done := make(chan struct{})
+	t.Cleanup(func() { ln.Close(); close(done) })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				in := bufio.NewReader(nc)
+				for _, text := range texts {
+					var q http1.Request
+					if http1.NewReader(in, http1.DefaultLimits).ReadRequest(&q) != nil {
+						return
+					}
+					io.CopyN(io.Discard, in, q.Length)
+					seen <- q
+					io.WriteString(nc, text)
+				}
+				if !hangUp {
+					<-done
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), seen
+}
+
+func newCall(s *Sender) *Call {
+	c := &Call{Method: "PUT", Target: "/save-paper/1/2?x=%20", ID: "9b1f", Key: "a key", Body: []byte("body")}
+	c.Ready(s)
+	return c
+}
+
+func try(c *Call, address string, wait time.Duration) host.Result {
+	return c.Try(&host.Try{Member: host.Member{Address: address}, Until: time.Now().Add(wait)})
+}
+
+const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Each way an attempt can end is told as what it was.
+func TestOutcomes(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := closed.Addr().String()
+	closed.Close()
+	s := NewSender(Options{Host: newHost(t), DialTimeout: time.Second, IdleFor: time.Minute, Most: 4, Longest: time.Second})
+	defer s.Close()
+	for _, c := range []struct {
+		name, text string
+		hangUp     bool
+		status     arrowwalk.Status
+		kept       bool
+	}{
+		{"served", good, false, arrowwalk.OK, true},
+		{"served in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, arrowwalk.OK, true},
+		{"the last of its connection", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false, arrowwalk.OK, false},
+		{"informed first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + good, false, arrowwalk.OK, true},
+		{"informed for ever", strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", 50) + good, false, arrowwalk.Failed, false},
+		{"a second copy", good + good, false, arrowwalk.OK, false},
+		{"noise behind", good + "noise", false, arrowwalk.OK, false},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", false, arrowwalk.Failed, true},
+		{"turned away", "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, arrowwalk.Full, true},
+		{"over already", "HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", false, arrowwalk.Full, true},
+		{"503 that may have run", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, arrowwalk.Failed, true},
+		{"noise", "\x16\x03\x01", false, arrowwalk.Failed, false},
+		{"no head", "HTTP/1.1 200 OK\r\n\x00\x01\r\n\r\nok", false, arrowwalk.Failed, false},
+		{"an endless head", "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 4000), false, arrowwalk.Failed, false},
+		{"3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 100), false, arrowwalk.Failed, false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", true, arrowwalk.Failed, false},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", false, arrowwalk.Failed, false},
+		{"closed", "", true, arrowwalk.Reset, false},
+		{"half a head", "HTTP/1.1 200 OK\r\nConte", true, arrowwalk.Reset, false},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nok", true, arrowwalk.Reset, false},
+		{"a body that does not come", "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nok", false, arrowwalk.TimedOut, false},
+		{"silent", "", false, arrowwalk.TimedOut, false},
+	} {
+		addr, seen := brick(t, c.hangUp, c.text)
+		call := newCall(s)
+		wait := 5 * time.Second
+		if c.status == arrowwalk.TimedOut {
+			wait = 50 * time.Millisecond
+		}
+		r := try(call, addr, wait)
+		if r.Status != c.status || r.Closed != (c.status == arrowwalk.OK) || r.Closed != (string(call.Answer) == "ok") {
+			t.Errorf("%s: %+v with %q", c.name, r, call.Answer)
+		}
+		if kept := s.pool.Pop(addr); (kept != nil) != c.kept {
+			t.Errorf("%s: connection kept: %v", c.name, kept != nil)
+		} else if kept != nil {
+			s.pool.Drop(kept)
+		}
+		q := <-seen
+		if q.Method != "PUT" || q.Target != call.Target || q.Fields.Get("X-Request-ID") != "9b1f" || q.Fields.Get("Idempotency-Key") != "a key" || q.Length != 4 {
+			t.Errorf("%s: the brick got %+v", c.name, q)
+		}
+	}
+	if r := try(newCall(s), dead, time.Second); r.Status != arrowwalk.Unreachable {
+		t.Errorf("nobody listens: %+v", r)
+	}
+	if r := try(newCall(s), "", time.Second); r.Status != arrowwalk.Moot {
+		t.Errorf("no address: %+v", r)
+	}
+	if open, idle, _ := s.Counts(); open != 0 || idle != 0 {
+		t.Errorf("%d connections open, %d idle", open, idle)
+	}
+}
+
+// A connection with bytes behind its answer, or one that its brick closed,
+// carries nothing more; a clean one does.
+func TestWhatIsReused(t *testing.T) {
+	s := NewSender(Options{Host: newHost(t), DialTimeout: time.Second, IdleFor: time.Minute, Most: 4, Longest: time.Second})
+	defer s.Close()
+	for _, c := range []struct {
+		first  string
+		hangUp bool
+		dials  int64
+	}{{good, false, 1}, {good + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", false, 2}, {good, true, 2}} {
+		texts := []string{c.first, good, good}
+		if c.hangUp {
+			texts = texts[:1]
+		}
+		addr, _ := brick(t, c.hangUp, texts...)
+		_, _, before := s.Counts()
+		for i := range 2 {
+			if i == 1 && c.hangUp { // until the close has come over
+				for idle := s.pool.Pop(addr); idle != nil && idle.Quiet(); time.Sleep(time.Millisecond) {
+				}
+			}
+			call := newCall(s)
+			if r := try(call, addr, 5*time.Second); r.Status != arrowwalk.OK || string(call.Answer) != "ok" {
+				t.Errorf("%q, request %d: %+v %q", c.first, i, r, call.Answer)
+			}
+		}
+		if _, _, after := s.Counts(); after-before != c.dials {
+			t.Errorf("%q: %d connections for 2 requests, want %d", c.first, after-before, c.dials)
+		}
+	}
+}
+
+// An abort, before and during an attempt, ends that attempt and no other.
+func TestAbort(t *testing.T) {
+	s := NewSender(Options{Host: newHost(t), DialTimeout: time.Second, IdleFor: time.Minute, Most: 4, Longest: time.Second})
+	defer s.Close()
+	addr, seen := brick(t, false, "", good)
+	call := newCall(s)
+	go func() {
+		<-seen
+		call.Abort(0)
+	}()
+	if r := try(call, addr, 10*time.Second); r.Status != arrowwalk.Cancelled {
+		t.Errorf("aborted while it waits: %+v", r)
+	}
+	call.Abort(1)
+	if r := call.Try(&host.Try{Number: 1, Member: host.Member{Address: addr}, Until: time.Now().Add(time.Second)}); r.Status != arrowwalk.Moot {
+		t.Errorf("aborted before it began: %+v", r)
+	}
+	served, _ := brick(t, false, good)
+	if r := call.Try(&host.Try{Number: 2, Member: host.Member{Address: served}, Until: time.Now().Add(5 * time.Second)}); r.Status != arrowwalk.OK {
+		t.Errorf("the next attempt: %+v", r)
+	}
+}
+
+// What an answer tells reaches the module in its units, and what can't be read
+// costs nothing.
+func TestTold(t *testing.T) {
+	s := NewSender(Options{Host: newHost(t), Reports: []string{"util", "queue"}, DialTimeout: time.Second, IdleFor: time.Minute, Most: 4, Longest: time.Second})
+	defer s.Close()
+	for _, c := range []struct {
+		fields     string
+		use, units float64
+		load       []float64
+	}{
+		{"X-Server-Load: inflight=7, queue=2,util=0.61\r\nX-Volume-Use: 0\r\nX-Served-Elsewhere: 3\r\n", 1, 3, []float64{0.61, 2}},
+		{"", 0, 0, nil},
+		{"X-Server-Load: util=;;\r\nX-Volume-Use: many\r\nX-Served-Elsewhere: -1\r\n", 0, 0, nil},
+		{"X-Server-Load: util=0.5\r\nX-Volume-Use: NaN\r\nX-Served-Elsewhere: 1e400\r\n", 0, 0, nil},
+	} {
+		addr, _ := brick(t, false, "HTTP/1.1 200 OK\r\n"+c.fields+"Content-Length: 2\r\n\r\nok")
+		r := try(newCall(s), addr, 5*time.Second)
+		if r.Status != arrowwalk.OK || r.FleetUse != c.use || r.OthersUnits != c.units || !slices.Equal(r.Load, c.load) {
+			t.Errorf("%q: %+v", c.fields, r)
+		}
+	}
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add("inflight=7,queue=2,util=0.61")
+	f.Add(",,=,util=")
+	f.Fuzz(func(t *testing.T, s string) {
+		for _, v := range report(s, []string{"util", "queue"}) {
+			if !(v >= 0 && v <= figureMost) {
+				t.Errorf("%v of %q", v, s)
+			}
+		}
+	})
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -45,8 +45,9 @@
 
 // Guards that can be taken out, for proofs that must fail.
 type Guards struct {
-	NoYield   bool
-	KeepDirty bool
+	DoubleFraming bool // a length beside a transfer coding is taken
+	KeepDirty     bool // a connection with bytes behind its answer is used again
+	NoYield       bool // silent connections are kept
 }
 
 // Start serves as cfg says until Stop.
@@ -71,7 +72,7 @@
 	p.follow = discovery.Start(cfg.Known, discovery.Options{Address: cfg.Discovery, Zones: discovery.NewZones(set.Zones),
 		Log: log, Told: h.Nodes, Reached: p.sender.Keep})
 	p.server = entry.Start(ln, entry.Options{Host: h, Sender: p.sender, Settings: &p.cfg.Settings.Settings, Log: log,
-		Most: b.clients, BodyBytes: b.bodies, NoYield: without.NoYield})
+		Most: b.clients, BodyBytes: b.bodies, NoYield: without.NoYield, DoubleFraming: without.DoubleFraming})
 	p.wg.Add(1)
 	go p.sweep()
 	return p, nil
@@ -95,7 +96,7 @@
 }
 
 // Addr returns the address that clients connect to.
-func (p *Platform) Addr() string { return p.cfg.Listen }
+func (p *Platform) Addr() string { return p.server.Addr() }
 
 // sweep closes the connections to bricks that were idle for too long.
 func (p *Platform) sweep() {
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,374 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"arrowwalk/internal/http1"
+	standin "arrowwalk/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const settingsText = `{"peersTotal":1,"ordinal":0,"periodUs":2000,"zones":["a"],"novelty":{"x":1},
+ "categories":[{"name":"fetch-text","aimUs":400000,"deadlineUs":2500000,"worth":2,"repeat":"read_like"},
+  {"name":"save-paper","aimUs":500000,"deadlineUs":2500000,"worth":2,"repeat":"idempotency_key","dedupScope":"cell","windowUs":4000000}],
+ "familyInfo":{"changesData":[false,true],"coldBears":29,"mostUnits":6,"unitMean":2,"saysOthers":true,"shards":2,"withinShare":0.35,"beyondShare":0.08},
+ "limits":{"maxAttempts":4,"maxRetryAfterUs":500000,"retryAfter":true,"cancel":true,"connectTimeoutUs":250000,"idleCloseUs":15000000},
+ "reporting":{"fields":["util"],"how":"inline"},
+ "rules":{"coldFrom":0.23,"drainGraceUs":500000,"fallUs":1000000,"overloadFactor":4,"warmWithinUs":15000000},
+ "serviceLevels":[{"name":"basic","usualRate":100,"parts":1,"worthFactor":1}]}`
+
+func configText(over ...string) string {
+	text := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+ "limits":{"cores":0.5,"memory_mb":64,"sockets":256},"known":{"index":41,"snapshot":true,"endpoints":[]},"settings":` + settingsText + `}`
+	for i := 0; i+1 < len(over); i += 2 {
+		text = strings.Replace(text, over[i], over[i+1], 1)
+	}
+	return text
+}
+
+func none(string) string { return "" }
+
+// A wrong configuration is refused with the name of its field.
+func TestConfigNamesWhatIsWrong(t *testing.T) {
+	for _, c := range []struct{ old, new, says string }{
+		{`"127.0.0.1:1"`, `"127.0.0.1"`, "listen"},
+		{`"127.0.0.1:2"`, `""`, "discovery"},
+		{`8c1f30d27a5be964`, `seed`, "seed"},
+		{`"limits":{"cores"`, `"limit":{"cores"`, "limits"},
+		{`"sockets":256`, `"sockets":1`, "limits"},
+		{`"endpoints":[]`, `"endpoints":[{"name":"x","status":"odd"}]`, "known.endpoints[0].status"},
+		{`"settings"`, `"setting"`, "settings"},
+		{`"read_like"`, `"odd"`, "fetch-text"},
+		{`"cell"`, `"odd"`, "save-paper"},
+		{`{"name":"n1"`, `{"name":7`, "name"},
+	} {
+		if _, err := Parse([]byte(configText(c.old, c.new)), none); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("no GW_CONFIG: %v", err)
+	}
+	lost := filepath.Join(t.TempDir(), "lost.json")
+	if _, err := Load(func(string) string { return lost }); err == nil || !strings.Contains(err.Error(), lost) {
+		t.Errorf("no file: %v", err)
+	}
+	cfg, err := Parse([]byte(configText()), func(name string) string { return map[string]string{"GW_LISTEN": "127.0.0.1:9"}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Listen != "127.0.0.1:9" || cfg.Settings.Seed != 0x8c1f30d27a5be964 || cfg.Settings.IdleClose != 15_000_000 ||
+		fmt.Sprint(cfg.Settings.Unknown) != "[novelty]" || !cfg.Settings.Classes[1].Writes {
+		t.Errorf("%+v", cfg.Settings)
+	}
+}
+
+// Clients, bricks and the host's own share the descriptors; bricks have one for
+// each request that clients may have open.
+func TestBudget(t *testing.T) {
+	for _, l := range []Limits{{0.3, 32, 256}, {0.5, 64, 384}, {1, 192, 1024}} {
+		b := share(l)
+		if b.clients+b.bricks+ownSockets > l.Sockets || b.clients < l.Sockets/3+l.Sockets/10 || b.bricks < l.Sockets/3 {
+			t.Errorf("%+v: %+v", l, b)
+		}
+		if b.bodies < 2<<20 || b.heap+b.bodies > int64(l.MemoryMB*(1<<20)) {
+			t.Errorf("%+v: %+v", l, b)
+		}
+	}
+}
+
+// rig is a host in this process with bricks, an agent and a log.
+type rig struct {
+	t      *testing.T
+	p      *Platform
+	log    *standin.Log
+	book   *standin.Book
+	agent  *standin.Agent
+	bricks []*standin.Brick
+	text   bytes.Buffer
+	mu     sync.Mutex
+}
+
+func (r *rig) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(b)
+}
+
+// newRig starts a host with two bricks; change may alter the configuration.
+func newRig(t *testing.T, without Guards, change ...string) *rig {
+	t.Helper()
+	r := &rig{t: t, log: standin.NewLog(), book: standin.NewBook(41)}
+	for group := range 2 {
+		b := &standin.Brick{Name: fmt.Sprint("b-", group), Zone: "a", Group: group}
+		if err := b.Start(r.log); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Stop)
+		r.bricks = append(r.bricks, b)
+		r.book.Tell(b.Entry("active"))
+	}
+	var err error
+	if r.agent, err = standin.NewAgent(r.book); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.agent.Stop)
+	cfg, err := Parse([]byte(configText(append([]string{"127.0.0.1:2", r.agent.Addr(), "127.0.0.1:1", "127.0.0.1:0"}, change...)...)), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.p, err = Start(cfg, slog.New(slog.NewTextHandler(r, nil)), without); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *rig) client(name string) *standin.Client {
+	return &standin.Client{Name: name, Addr: r.p.Addr, Log: r.log}
+}
+
+func (r *rig) read(n int) *standin.Request {
+	return &standin.Request{Class: "fetch-text", Volume: 7, Piece: uint64(n), Plan: "basic", Units: 1, Shard: n % 2, Hosts: 1, Wait: 2 * time.Second}
+}
+
+// served asks until an answer comes: the first list is on its way.
+func (r *rig) served() {
+	r.t.Helper()
+	c := r.client("first")
+	defer c.Close()
+	for n := range 200 {
+		if c.Do(r.read(n)) == 200 {
+			return
+		}
+	}
+	r.t.Fatal("nothing is served")
+}
+
+// A read and a write go to their bricks and back unchanged.
+func TestServes(t *testing.T) {
+	r := newRig(t, Guards{})
+	defer r.p.Stop(context.Background())
+	r.served()
+	c := r.client("c")
+	defer c.Close()
+	write := &standin.Request{Class: "save-paper", Volume: 7, Piece: 3, Plan: "basic", Units: 2, Shard: 1, Hosts: 1, Write: true, Body: "a paper", Wait: time.Second}
+	for n := range 20 {
+		if got := c.Do(r.read(n)); got != 200 {
+			t.Errorf("read %d: %d", n, got)
+		}
+		if got := c.Do(write); got != 200 {
+			t.Errorf("write %d: %d", n, got)
+		}
+	}
+	_, calls := r.log.Trace()
+	for _, call := range calls {
+		if call.Wrong || call.Extra {
+			t.Errorf("%+v", call)
+		}
+	}
+	if len(r.log.Foreign) > 0 {
+		t.Errorf("bricks got what no client sent: %v", r.log.Foreign)
+	}
+	if !strings.Contains(r.text.String(), "novelty") {
+		t.Errorf("unknown settings are not logged:\n%s", r.text.String())
+	}
+}
+
+// Strangers get an error or a close in time, no brick sees them, and a usual
+// client is served beside them.
+func TestStrangers(t *testing.T) {
+	r := newRig(t, Guards{})
+	defer r.p.Stop(context.Background())
+	r.served()
+	r.bricks[0].Take(500 * time.Millisecond) // keeps an id open
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		c := r.client("open")
+		defer c.Close()
+		if got := c.Do(r.read(0)); got != 200 {
+			t.Errorf("the open request: %d", got)
+		}
+	}()
+	for arrivals, _ := r.log.Trace(); !strings.Contains(fmt.Sprint(arrivals), "open000001"); arrivals, _ = r.log.Trace() {
+		time.Sleep(time.Millisecond)
+	}
+	for _, s := range standin.Strangers("open000001") {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := s.Visit(r.p.Addr()); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	if len(r.log.Foreign) > 0 {
+		t.Errorf("bricks got what no client sent: %v", r.log.Foreign)
+	}
+}
+
+// Hundreds that connect and stay silent give way, and usual clients do not.
+func TestSilentOnesGiveWay(t *testing.T) {
+	r := newRig(t, Guards{})
+	defer r.p.Stop(context.Background())
+	r.served()
+	kept := r.client("kept")
+	defer kept.Close()
+	if got := kept.Do(r.read(1)); got != 200 {
+		t.Fatal(got)
+	}
+	for n := range 500 {
+		nc, err := net.Dial("tcp", r.p.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if n%50 == 0 {
+			c := r.client(fmt.Sprint("new", n, "-"))
+			if got := c.Do(r.read(n)); got != 200 {
+				t.Errorf("beside %d silent ones: %d", n, got)
+			}
+			c.Close()
+		}
+	}
+	if got := kept.Do(r.read(2)); got != 200 {
+		t.Errorf("the kept connection: %d", got)
+	}
+	if s := r.p.server.Stats(); s.Conns > 256 || s.Yielded == 0 || s.Turned != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// At a planned restart new connections are taken for a while, requests are
+// served and told to connect anew, and what was taken has its answer.
+func TestStop(t *testing.T) {
+	r := newRig(t, Guards{})
+	r.served()
+	r.bricks[0].Take(700 * time.Millisecond)
+	kept := r.client("kept")
+	defer kept.Close()
+	if got := kept.Do(r.read(1)); got != 200 {
+		t.Fatal(got)
+	}
+	slow := make(chan int)
+	go func() {
+		c := r.client("slow")
+		defer c.Close()
+		slow <- c.Do(r.read(0))
+	}()
+	for arrivals, _ := r.log.Trace(); !strings.Contains(fmt.Sprint(arrivals), "slow000001"); arrivals, _ = r.log.Trace() {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	began := time.Now()
+	go func() {
+		r.p.Stop(context.Background())
+		close(stopped)
+	}()
+	for n := 0; time.Since(began) < 300*time.Millisecond; n++ {
+		c := r.client(fmt.Sprint("late", n, "-"))
+		if got := c.Do(r.read(1)); got != 200 {
+			t.Errorf("%s after the signal: %d", time.Since(began), got)
+		}
+		c.Close()
+	}
+	if got := kept.Do(r.read(1)); got != 200 {
+		t.Errorf("on the kept connection: %d", got)
+	}
+	if got := <-slow; got != 200 {
+		t.Errorf("what was taken before the signal: %d", got)
+	}
+	<-stopped
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("stopping took %s", took)
+	}
+	if nc, err := net.Dial("tcp", r.p.Addr()); err == nil {
+		nc.Close()
+		t.Error("a stopped host takes connections")
+	}
+}
+
+// A new configuration moves the watch; a drained brick gets nothing new.
+func TestReload(t *testing.T) {
+	r := newRig(t, Guards{})
+	defer r.p.Stop(context.Background())
+	r.served()
+	other, err := standin.NewAgent(r.book)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Stop()
+	next, err := Parse([]byte(configText("127.0.0.1:2", other.Addr())), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.agent.Retire()
+	r.p.Reload(next)
+	r.p.Reload(next)
+	r.book.Tell(r.bricks[0].Entry("leaving"))
+	c := r.client("c")
+	defer c.Close()
+	quick := r.read(0)
+	quick.Wait = 100 * time.Millisecond
+	for n := 0; c.Do(quick) == 200; n++ {
+		if n == 2000 {
+			t.Fatal("the change at the new address is not followed")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := c.Do(r.read(1)); got != 200 {
+		t.Errorf("the other brick: %d", got)
+	}
+}
+
+// A refused request's answer arrives though its sender still sends.
+func TestAnswerArrivesUnderAFlood(t *testing.T) {
+	r := newRig(t, Guards{})
+	defer r.p.Stop(context.Background())
+	for range 5 {
+		nc, err := net.Dial("tcp", r.p.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprint(nc, "PUT /save-paper/0000000000000001/0000000000000001 HTTP/1.1\r\nHost: s\r\nContent-Length: 62914560\r\n\r\n")
+		go io.Copy(nc, io.LimitReader(zeros{}, 60<<20))
+		var head http1.Response
+		if err := http1.NewReader(bufio.NewReader(nc), http1.DefaultLimits).ReadResponse(&head, "PUT"); err != nil || head.Status != 413 {
+			t.Errorf("%d, %v", head.Status, err)
+		}
+		nc.Close()
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+func FuzzConfig(f *testing.F) {
+	f.Add([]byte(configText()))
+	f.Add([]byte(`{"limits":{},"settings":[]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if cfg, err := Parse(text, none); err == nil {
+			if b := share(cfg.Limits); b.clients <= 0 || b.bricks <= 0 {
+				t.Errorf("%+v of %+v", b, cfg.Limits)
+			}
+		}
+	})
+}
