An attempt outlives its client: its true end is told, its connection kept

At fault: host.take, which aborted on Abandoned. Change: Task.Outlive, set by the platform's entry; the client's place is free at once; a stop cuts what is left. Kept for the true words to the module.

--- a/internal/conns/attempt.go
+++ b/internal/conns/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -113,12 +114,20 @@
 func (n *Numbered) Abort(number int) {
 	n.turn.Lock()
 	defer n.turn.Unlock()
-	n.aborted = max(n.aborted, number+1)
+	n.aborted = max(n.aborted, number+1) // a Cut stays
 	if n.begun && n.number == number {
 		n.Attempt.Abort()
 	}
 }
 
+// Cut ends the attempt that runs, and lets none begin any more.
+func (n *Numbered) Cut() {
+	n.turn.Lock()
+	defer n.turn.Unlock()
+	n.aborted = math.MaxInt
+	n.Attempt.Abort()
+}
+
 // Number returns the number of the attempt that runs.
 func (n *Numbered) Number() int {
 	n.turn.Lock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -325,7 +325,7 @@
 	case *arrowwalk.Abandoned:
 		if t := m.task; !t.over.Swap(true) {
 			t.signals <- signal{kind: signalGone}
-			if t.running >= 0 {
+			if t.running >= 0 && !t.Outlive {
 				t.Runner.Abort(t.running)
 			}
 		}
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -53,6 +53,7 @@
 	Again   bool
 	Runner  Runner
 	Label   string // of the client's request, for those who watch
+	Outlive bool   // an attempt that is out goes on when its client has gone: the module is told its true end
 	Tells   bool   // its front calls Answered when its final word is written
 	request arrowwalk.Request
 	signals chan signal
--- a/internal/platform/entry/conn.go
+++ b/internal/platform/entry/conn.go
@@ -196,13 +196,14 @@
 	x := &exchange{call: exit.Call{Method: c.req.Method, Target: c.req.Target, ID: a.id, Key: a.key, Body: body}}
 	x.call.Ready(c.s.opt.Sender)
 	x.task = host.Task{Class: a.class, Volume: a.volume, Key: a.piece, HasKey: true, Units: a.units, Shard: a.shard,
-		Until: c.came().Add(a.timeout), Again: a.again, Runner: &x.call, Label: a.id, Tells: true}
+		Until: c.came().Add(a.timeout), Again: a.again, Runner: &x.call, Label: a.id, Outlive: true, Tells: true}
 	c.s.stats.requests.Add(1)
-	if !c.enter(&x.task) {
+	if !c.enter(x) {
+		c.leave(x)
 		return false
 	}
 	v := c.s.opt.Host.Do(&x.task)
-	c.leave()
+	c.leave(x)
 	defer x.call.Free()
 	defer c.s.opt.Host.Answered(&x.task)
 	switch v.End {
@@ -217,15 +218,21 @@
 	return c.answer(502, "", nil)
 }
 
-// enter notes that a task waits for the host; false: the client has gone.
-func (c *conn) enter(t *host.Task) bool {
+// enter notes that a request waits for the host; false: the client has gone.
+func (c *conn) enter(x *exchange) bool {
+	c.s.mu.Lock()
+	c.s.calls[&x.call] = struct{}{}
+	c.s.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.task, c.since = t, time.Now()
+	c.task, c.since = &x.task, time.Now()
 	return !c.left
 }
 
-func (c *conn) leave() {
+func (c *conn) leave(x *exchange) {
+	c.s.mu.Lock()
+	delete(c.s.calls, &x.call)
+	c.s.mu.Unlock()
 	c.mu.Lock()
 	c.task = nil
 	c.mu.Unlock()
@@ -238,6 +245,10 @@
 	c.mu.Unlock()
 	if waits && peek.Gone(c.raw) {
 		c.abandon()
+		c.s.mu.Lock()
+		c.s.table.Remove(c.place) // an attempt that is out may outlive its client
+		c.s.mu.Unlock()
+		c.nc.Close()
 	}
 }
 
--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -55,6 +55,7 @@
 
 	mu    sync.Mutex
 	table *giveway.Table[*conn]
+	calls map[*exit.Call]struct{} // that the host decides on
 	base  time.Time
 }
 
@@ -84,7 +85,7 @@
 // Start serves ln until Stop.
 func Start(ln net.Listener, opt Options) *Server {
 	s := &Server{opt: opt, ln: ln, checker: newChecker(opt.Settings), ids: ids{open: map[string]bool{}},
-		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.BodyBytes), base: time.Now()}
+		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.BodyBytes), calls: map[*exit.Call]struct{}{}, base: time.Now()}
 	s.limits = limits
 	s.limits.DoubleFraming = opt.DoubleFraming
 	s.wg.Add(2)
@@ -224,6 +225,9 @@
 			e.Conn.abandon()
 		})
 	}
+	for call := range s.calls { // some have outlived their clients
+		call.Cut()
+	}
 	s.mu.Unlock()
 	s.wg.Wait()
 }
--- a/internal/platform/exit/exit.go
+++ b/internal/platform/exit/exit.go
@@ -92,6 +92,9 @@
 // Abort ends the attempt of that number (host.Runner).
 func (c *Call) Abort(number int) { c.attempt.Abort(number) }
 
+// Cut ends the attempt that runs; no more begin.
+func (c *Call) Cut() { c.attempt.Cut() }
+
 // Try makes an attempt (host.Runner).
 func (c *Call) Try(t *host.Try) host.Result {
 	if !c.attempt.Begin(t.Number) || t.Member.Address == "" {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -304,6 +304,40 @@
 	}
 }
 
+// A client that leaves costs neither its brick's connection nor a false word to
+// the module: the attempt ends as it ends, and nothing of it is kept.
+func TestAttemptOutlivesItsClient(t *testing.T) {
+	r := newRig(t, Guards{})
+	r.served()
+	r.bricks[0].Take(300 * time.Millisecond)
+	_, _, dialed := r.p.sender.Counts()
+	ok := r.p.host.Stats().Attempts["ok"]
+	for n := range 3 {
+		nc, err := net.Dial("tcp", r.p.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(nc, "GET /fetch-text/0000000000000007/0000000000000002 HTTP/1.1\r\nHost: s\r\nX-Request-ID: leaves%d\r\nX-Plan: basic\r\nX-Timeout: 2\r\nX-IO: units=1,shard=0,hosts=1\r\n\r\n", n)
+		for arrivals, _ := r.log.Trace(); !strings.Contains(fmt.Sprint(arrivals), fmt.Sprint("leaves", n)); arrivals, _ = r.log.Trace() {
+			time.Sleep(time.Millisecond)
+		}
+		nc.Close()
+		for r.p.host.Stats().Attempts["ok"] != ok+uint64(n)+1 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if s := r.p.host.Stats(); s.Attempts["cancelled"] != 0 {
+		t.Errorf("attempts %v", s.Attempts)
+	}
+	if _, _, now := r.p.sender.Counts(); now-dialed > 1 {
+		t.Errorf("%d new connections for 3 requests in turn", now-dialed)
+	}
+	if running := r.p.host.State().Running; len(running) != 0 {
+		t.Errorf("kept: %+v", running)
+	}
+	r.p.Stop(context.Background())
+}
+
 // A new configuration moves the watch; a drained brick gets nothing new.
 func TestReload(t *testing.T) {
 	r := newRig(t, Guards{})
