A planned restart serves kept connections until shortly before it would be killed

Examined: the hosts themselves failed 34 of 3,664 (their count at SIGTERM); the log shows exit 0.65 s after SIGTERM and the next start 3.1 s after it, one host of four at a time; discovery's moves at SIGHUP took no time. At fault: platform.Stop told every client to connect anew at once and closed idle connections after 0.45 s, while clients go on using what stays open. Change: kept connections are served until 0.5 s before SIGKILL may come, a request's time is cut to 0.2 s before it; then clients are told to connect anew, and the host exits.

--- a/cmd/arrowwalk/platform.go
+++ b/cmd/arrowwalk/platform.go
@@ -50,6 +50,6 @@
 		}
 	}()
 	p.Stop(context.Background())
-	g.log.Info("stopped")
+	g.log.Info("stopped", p.Report()...)
 	return nil
 }
--- a/internal/platform/entry/conn.go
+++ b/internal/platform/entry/conn.go
@@ -196,7 +196,7 @@
 	x := &exchange{call: exit.Call{Method: c.req.Method, Target: c.req.Target, ID: a.id, Key: a.key, Body: body}}
 	x.call.Ready(c.s.opt.Sender)
 	x.task = host.Task{Class: a.class, Volume: a.volume, Key: a.piece, HasKey: true, Units: a.units, Shard: a.shard,
-		Until: c.came().Add(a.timeout), Again: a.again, Runner: &x.call, Label: a.id, Outlive: true, Tells: true}
+		Until: c.s.until(c.came().Add(a.timeout)), Again: a.again, Runner: &x.call, Label: a.id, Outlive: true, Tells: true}
 	c.s.stats.requests.Add(1)
 	if !c.enter(x) {
 		c.leave(x)
@@ -273,7 +273,7 @@
 
 // answer writes an answer; false: the connection ends.
 func (c *conn) answer(status int, field string, body []byte) bool {
-	last := c.req.Close || c.s.closing.Load()
+	last := c.req.Close || c.s.tells()
 	if !c.write(status, field, body, last) {
 		return false
 	}
--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -49,7 +49,8 @@
 	limits  http1.Limits
 	ids     ids
 	stats   counters
-	closing atomic.Bool
+	last    atomic.Int64 // by then all have their final answers, nanoseconds since 1970; 0: at any time
+	tell    atomic.Int64 // from then on clients are told to connect anew; 0: they are not
 	quit    chan struct{}
 	wg      sync.WaitGroup
 
@@ -186,8 +187,26 @@
 	}
 }
 
-// Drain has every answer from now on tell its client to connect anew.
-func (s *Server) Drain() { s.closing.Store(true) }
+// Drain has every answer from a time on tell its client to connect anew, and
+// gives every request that is taken from now on its final answer by another.
+func (s *Server) Drain(tell, last time.Time) {
+	s.last.Store(last.UnixNano())
+	s.tell.Store(tell.UnixNano())
+}
+
+// until returns by when a request that may wait until a time has its answer.
+func (s *Server) until(t time.Time) time.Time {
+	if last := s.last.Load(); last != 0 && t.UnixNano() > last {
+		return time.Unix(0, last)
+	}
+	return t
+}
+
+// tells tells whether clients are told to connect anew.
+func (s *Server) tells() bool {
+	tell := s.tell.Load()
+	return tell != 0 && time.Now().UnixNano() >= tell
+}
 
 // CloseIdle closes the connections between requests on which nothing has come.
 func (s *Server) CloseIdle() {
@@ -215,7 +234,6 @@
 
 // Stop ends the server at once; what is open is cut.
 func (s *Server) Stop() {
-	s.closing.Store(true)
 	s.ln.Close()
 	close(s.quit)
 	s.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,16 +19,25 @@
 	"arrowwalk/internal/platform/exit"
 )
 
-// Times of a planned restart, from its signal on. For the first few tenths of
-// a second new connections go on coming; what is taken later than lastLook may
-// not have its answer when the process is killed.
+// Times of a planned restart, which is killed no sooner than killSpare after
+// the longest deadline, or after deadlineMost where that is longer. Clients go
+// on using the connections they have, and reach no other host on them: they are
+// served for as long as the answers still come in time.
 const (
-	idleUntil   = 450 * time.Millisecond // connections between requests are kept so long
-	listenUntil = 650 * time.Millisecond // new connections are taken so long
-	lookEvery   = 5 * time.Millisecond
-	answerSpare = 300 * time.Millisecond // past the longest deadline
-	sweepEvery  = time.Second
-	idlePart    = 0.8 // of the settings' idle time, for which connections are reused
+	killSpare    = 700 * time.Millisecond
+	deadlineMost = 3 * time.Second
+	newMost      = 650 * time.Millisecond // new connections come no later
+	tellLeast    = 500 * time.Millisecond // before the end: from then on clients are told to connect anew
+	idleLeast    = 350 * time.Millisecond // connections between requests are closed
+	answerLeast  = 200 * time.Millisecond // and all that is taken has its final answer
+	exitLeast    = 100 * time.Millisecond
+)
+
+// Times of what the host does again and again.
+const (
+	lookEvery  = 5 * time.Millisecond
+	sweepEvery = time.Second
+	idlePart   = 0.8 // of the settings' idle time, for which connections are reused
 )
 
 // Platform is a running host.
@@ -121,17 +130,18 @@
 	}
 }
 
-// Stop ends the host as a planned restart does: connections go on being taken
-// and requests served for as long as clients may not know, then what is taken
-// gets its answer, within the longest deadline.
+// Stop ends the host as a planned restart does: new connections are taken and
+// requests served for as long as there is time, then clients are told to connect
+// anew, and what is taken gets its answer. It returns sooner where no client is
+// left.
 func (p *Platform) Stop(ctx context.Context) {
 	began := time.Now()
-	p.server.Drain()
-	p.wait(ctx, began.Add(idleUntil), nil)
-	p.server.CloseIdle()
-	p.wait(ctx, began.Add(listenUntil), nil)
+	end := began.Add(min(p.longest(), deadlineMost) + killSpare)
+	empty := func() bool { return time.Since(began) > newMost && p.server.Conns() == 0 }
+	p.server.Drain(end.Add(-tellLeast), end.Add(-answerLeast))
+	p.wait(ctx, end.Add(-idleLeast), empty)
 	p.server.CloseListener()
-	p.wait(ctx, began.Add(listenUntil+p.longest()+answerSpare), func() bool {
+	p.wait(ctx, end.Add(-exitLeast), func() bool {
 		p.server.CloseIdle()
 		return p.server.Conns() == 0
 	})
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -255,8 +255,9 @@
 	}
 }
 
-// At a planned restart new connections are taken for a while, requests are
-// served and told to connect anew, and what was taken has its answer.
+// At a planned restart new connections are taken for a while, kept ones served
+// for as long as there is time and then told to connect anew, and what was taken
+// has its answer before the host would be killed.
 func TestStop(t *testing.T) {
 	r := newRig(t, Guards{})
 	r.served()
@@ -288,15 +289,26 @@
 		}
 		c.Close()
 	}
-	if got := kept.Do(r.read(1)); got != 200 {
-		t.Errorf("on the kept connection: %d", got)
-	}
 	if got := <-slow; got != 200 {
 		t.Errorf("what was taken before the signal: %d", got)
 	}
+	_, calls := r.log.Trace()
+	before := len(calls)
+	for at := time.Duration(0); at < 2500*time.Millisecond; at = time.Since(began) {
+		if got := kept.Do(r.read(1)); got != 200 {
+			t.Fatalf("on the kept connection %s after the signal: %d", at, got)
+		}
+	}
+	r.bricks[1].Take(10 * time.Second) // longer than there is time
+	if got := kept.Do(r.read(1)); got != 503 {
+		t.Errorf("what can't be served before the end: %d", got)
+	}
 	<-stopped
-	if took := time.Since(began); took > 3*time.Second {
-		t.Errorf("stopping took %s", took)
+	if took := time.Since(began); took > 3100*time.Millisecond {
+		t.Errorf("stopping took %s of 3.2 s", took)
+	}
+	if _, calls = r.log.Trace(); len(calls) < before+10 {
+		t.Errorf("%d requests on the kept connection", len(calls)-before)
 	}
 	if nc, err := net.Dial("tcp", r.p.Addr()); err == nil {
 		nc.Close()
