Idle client connections are closed by time, where kept ones use up the clients' share

Examined: 11,404 connections that asked once and stayed; the host's descriptors stood at 70 to 147 of 256, none closed by itself. At fault: entry.makeRoom ran only when somebody connected, and from half of the bound on; clients hold a third of the descriptors at most, and who has none left cannot connect to ask for room. Change: from a sixth of the descriptors on, connections idle for 2 s are closed, looked at every 50 ms. Also: Host.Abandon raced with Do (race detector, in a new test of that); it tells now where it came too early.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -196,6 +196,7 @@
 	h.stats.taken.Add(1)
 	v := Verdict{End: Failed}
 	if h.post(message{event: &t.request, task: t}) {
+		t.begun.Store(true)
 		v = h.follow(t)
 	}
 	h.stats.ended[v.End].Add(1)
@@ -250,9 +251,13 @@
 	h.post(message{event: &arrowwalk.StreamStart{Request: t.request.ID, Attempt: number, Node: node}})
 }
 
-// Abandon tells that t's client has gone.
-func (h *Host) Abandon(t *Task) {
-	h.post(message{event: &arrowwalk.Abandoned{Request: t.request.ID}, task: t})
+// Abandon tells that t's client has gone; false: Do has not begun with t, and
+// the caller may try again.
+func (h *Host) Abandon(t *Task) bool {
+	if !t.begun.Load() {
+		return false
+	}
+	return h.post(message{event: &arrowwalk.Abandoned{Request: t.request.ID}, task: t})
 }
 
 // run steps the module when a timer runs out, and ends the host.
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -198,6 +198,38 @@
 	}
 }
 
+// A client that leaves before the module was handed its request is told of by
+// and by; an attempt that outlives its client is not aborted, and ends the task.
+func TestAbandonEarlyAndOutlive(t *testing.T) {
+	h, err := New(Options{Settings: settings()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	h.Nodes(arrowwalk.ListFull, 1, []Member{{Node: arrowwalk.Node{ID: "a"}, Address: "x"}})
+	r := &runner{block: make(chan struct{})}
+	tk := &Task{Volume: arrowwalk.Volume{ID: 1, Hosts: 1}, Units: 0.1, Until: time.Now().Add(time.Minute), Runner: r, Outlive: true}
+	if h.Abandon(tk) {
+		t.Error("a task that was not begun is abandoned")
+	}
+	end := make(chan End)
+	go func() { end <- h.Do(tk).End }()
+	for r.tries.Load() == 0 || !h.Abandon(tk) {
+		time.Sleep(time.Millisecond)
+	}
+	h.State() // a step later
+	if r.aborts.Load() != 0 {
+		t.Error("the attempt was aborted")
+	}
+	close(r.block)
+	if got := <-end; got != Gone {
+		t.Errorf("ended as %s", got)
+	}
+	if s := h.State(); len(s.Running) != 0 {
+		t.Errorf("%d tasks are kept", len(s.Running))
+	}
+}
+
 // A step of the host under load: what the module and the hand-over cost.
 func BenchmarkDo(b *testing.B) {
 	h, err := New(Options{Settings: settings()})
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -57,6 +57,7 @@
 	Tells   bool   // its front calls Answered when its final word is written
 	request arrowwalk.Request
 	signals chan signal
+	begun   atomic.Bool // the module was handed the request
 	over    atomic.Bool // a final word was given; nothing more is sent
 	running int         // number of the attempt that is out, -1: none; the loop's
 	sent    int         // attempts so far; the loop's
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -9,6 +9,7 @@
 // budget is how the limits are shared out among what uses them.
 type budget struct {
 	clients int   // connections of clients
+	easy    int   // connections of clients from which on idle ones are closed
 	bricks  int   // connections to bricks
 	bodies  int64 // bytes of clients' bodies held at once
 	answers int64 // bytes of bricks' answers held at once
@@ -21,12 +22,14 @@
 
 // share divides the limits. Clients hold at most a third of the descriptors for
 // requests; the rest of their part is for those that are silent or refused. A
-// brick's connection is needed for each open request at most.
+// brick's connection is needed for each open request at most. Clients that keep
+// connections for good would use up their third, and then cannot connect: idle
+// ones are closed from a half of it on.
 func share(l Limits) budget {
 	sockets := l.Sockets - ownSockets
 	memory := int64(l.MemoryMB * (1 << 20))
 	clients := sockets * 6 / 10
-	return budget{clients: clients, bricks: sockets - clients, bodies: memory / 8, answers: memory / 4, heap: memory * 6 / 10}
+	return budget{clients: clients, easy: l.Sockets / 6, bricks: sockets - clients, bodies: memory / 8, answers: memory / 4, heap: memory * 6 / 10}
 }
 
 // apply tells the runtime what it may use.
--- a/internal/platform/entry/conn.go
+++ b/internal/platform/entry/conn.go
@@ -243,8 +243,7 @@
 	c.mu.Lock()
 	waits := c.task != nil && time.Since(c.since) > watchEvery
 	c.mu.Unlock()
-	if waits && peek.Gone(c.raw) {
-		c.abandon()
+	if waits && peek.Gone(c.raw) && c.abandon() {
 		c.s.mu.Lock()
 		c.s.table.Remove(c.place) // an attempt that is out may outlive its client
 		c.s.mu.Unlock()
@@ -252,15 +251,13 @@
 	}
 }
 
-// abandon tells the host that the client has gone.
-func (c *conn) abandon() {
+// abandon tells the host that the client has gone; false: it could not yet.
+func (c *conn) abandon() bool {
 	c.mu.Lock()
 	t := c.task
 	c.left = true
 	c.mu.Unlock()
-	if t != nil {
-		c.s.opt.Host.Abandon(t)
-	}
+	return t == nil || c.s.opt.Host.Abandon(t)
 }
 
 // retryAfter returns the header field that advises a wait; "": none.
--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -35,6 +35,7 @@
 	Settings  *arrowwalk.Settings
 	Log       *slog.Logger
 	Most      int   // connections
+	Easy      int   // connections from which on idle ones are closed
 	BodyBytes int64 // of bodies held at once
 	// NoYield keeps silent connections, DoubleFraming takes a length beside a
 	// transfer coding; for proofs that must fail.
@@ -86,7 +87,7 @@
 // Start serves ln until Stop.
 func Start(ln net.Listener, opt Options) *Server {
 	s := &Server{opt: opt, ln: ln, checker: newChecker(opt.Settings), ids: ids{open: map[string]bool{}},
-		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.BodyBytes), calls: map[*exit.Call]struct{}{}, base: time.Now()}
+		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.Easy, opt.BodyBytes), calls: map[*exit.Call]struct{}{}, base: time.Now()}
 	s.limits = limits
 	s.limits.DoubleFraming = opt.DoubleFraming
 	s.wg.Add(2)
@@ -163,8 +164,8 @@
 	})
 }
 
-// watch looks whether the clients of open requests are still there: nobody
-// reads their connections meanwhile.
+// watch looks whether the clients of open requests are still there, as nobody
+// reads their connections meanwhile, and closes what was idle for long.
 func (s *Server) watch() {
 	defer s.wg.Done()
 	tick := time.NewTicker(watchEvery)
@@ -178,6 +179,9 @@
 		}
 		waiting = waiting[:0]
 		s.mu.Lock()
+		if !s.table.Full() { // who has no connection left cannot ask for room by connecting
+			s.makeRoom(false)
+		}
 		s.table.Each(giveway.Open, func(e *giveway.Entry[*conn]) { waiting = append(waiting, e.Conn) })
 		s.mu.Unlock()
 		for _, c := range waiting {
--- a/internal/platform/giveway/giveway.go
+++ b/internal/platform/giveway/giveway.go
@@ -46,9 +46,10 @@
 	place *list.Element
 }
 
-// NewTable returns a Table of at most most connections and bytes of bodies.
-func NewTable[C any](most int, bytes int64) *Table[C] {
-	return &Table[C]{most: most, easy: most / 2, bytes: bytes}
+// NewTable returns a Table of at most most connections, of which idle ones give
+// way from easy on, and bytes of bodies.
+func NewTable[C any](most, easy int, bytes int64) *Table[C] {
+	return &Table[C]{most: most, easy: easy, bytes: bytes}
 }
 
 // Add takes a new connection in.
@@ -89,8 +90,8 @@
 func (t *Table[C]) In(s Stage) int { return t.lists[s].Len() }
 
 // Victims calls yield with the connections that should give way for one more,
-// the first choice first, until it returns false. Below half of what may be
-// held there are none; from there on, those idle for long; at the bound, also
+// the first choice first, until it returns false. Below the easy bound there are
+// none; from there on, those idle for long; at the bound, also
 // those that are being closed, and, oldest first, those that never sent a whole
 // request, then those that stopped inside one. One with an open request never
 // gives way.
--- a/internal/platform/giveway/giveway_test.go
+++ b/internal/platform/giveway/giveway_test.go
@@ -14,11 +14,11 @@
 	return list
 }
 
-// Below half of the bound nothing gives way; from there on those idle for long
+// Below the easy bound nothing gives way; from there on those idle for long
 // do; at the bound the oldest that never sent a request, and an open request
 // never.
 func TestWhoGivesWay(t *testing.T) {
-	tab := NewTable[string](6, 100)
+	tab := NewTable[string](6, 3, 100)
 	add := func(name string, at int64, to Stage) *Entry[string] {
 		e := tab.Add(name, at)
 		tab.Move(e, to, at)
@@ -54,7 +54,7 @@
 }
 
 func TestBodiesAreBounded(t *testing.T) {
-	tab := NewTable[string](1, 100)
+	tab := NewTable[string](1, 1, 100)
 	if !tab.Hold(60) || tab.Hold(41) || !tab.Hold(40) {
 		t.Error("the bound of 100 bytes does not hold")
 	}
@@ -68,7 +68,7 @@
 // open request is named.
 func TestAgainstAPlainList(t *testing.T) {
 	dice := rand.New(rand.NewPCG(1, 2))
-	tab := NewTable[int](40, 0)
+	tab := NewTable[int](40, 20, 0)
 	stage := map[*Entry[int]]Stage{}
 	for now := range int64(20_000) {
 		switch n := dice.IntN(10); {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -81,7 +81,7 @@
 	p.follow = discovery.Start(cfg.Known, discovery.Options{Address: cfg.Discovery, Zones: discovery.NewZones(set.Zones),
 		Log: log, Told: h.Nodes, Reached: p.sender.Keep})
 	p.server = entry.Start(ln, entry.Options{Host: h, Sender: p.sender, Settings: &p.cfg.Settings.Settings, Log: log,
-		Most: b.clients, BodyBytes: b.bodies, NoYield: without.NoYield, DoubleFraming: without.DoubleFraming})
+		Most: b.clients, Easy: b.easy, BodyBytes: b.bodies, NoYield: without.NoYield, DoubleFraming: without.DoubleFraming})
 	p.wg.Add(1)
 	go p.sweep()
 	return p, nil
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -255,6 +255,38 @@
 	}
 }
 
+// Clients that ask once and keep their connection for good give way by time
+// alone: nobody else need connect for that.
+func TestKeptForGood(t *testing.T) {
+	r := newRig(t, Guards{}, `"sockets":256`, `"sockets":96`)
+	defer r.p.Stop(context.Background())
+	r.served()
+	var kept []*standin.Client
+	for n := range 30 {
+		c := r.client(fmt.Sprint("kept", n, "-"))
+		defer c.Close()
+		if got := c.Do(r.read(n)); got != 200 {
+			t.Fatal(got)
+		}
+		kept = append(kept, c)
+	}
+	began := time.Now()
+	for s := r.p.server.Stats(); s.Conns >= 96/6; s = r.p.server.Stats() {
+		if time.Since(began) > 20*time.Second {
+			t.Fatalf("%+v", s)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(began); took < 1500*time.Millisecond {
+		t.Errorf("closed after %s: 2 s are theirs", took)
+	}
+	for n, c := range kept { // those that were closed connect anew
+		if got := c.Do(r.read(n)); got != 200 {
+			t.Errorf("client %d: %d", n, got)
+		}
+	}
+}
+
 // At a planned restart new connections are taken for a while, kept ones served
 // for as long as there is time and then told to connect anew, and what was taken
 // has its answer before the host would be killed.
