In a planned restart no connection is closed for want of room

A test with a crowd fails without it. Another shows that bricks, clients and ids that come and go leave nothing behind.

--- a/internal/platform/entry/conn.go
+++ b/internal/platform/entry/conn.go
@@ -282,8 +282,12 @@
 	return !last
 }
 
-// kept tells whether there is room to keep the connection after an answer.
+// kept tells whether there is room to keep the connection after an answer. In a
+// planned restart it is kept all the same: its client would get no other.
 func (c *conn) kept() bool {
+	if c.s.draining() {
+		return true
+	}
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	return c.s.table.Keep(c.asked <= 1)
--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -179,7 +179,7 @@
 		}
 		waiting = waiting[:0]
 		s.mu.Lock()
-		if !s.table.Full() { // who has no connection left cannot ask for room by connecting
+		if !s.table.Full() && !s.draining() { // who has no connection left cannot ask for room by connecting
 			s.makeRoom(false)
 		}
 		s.table.Each(giveway.Open, func(e *giveway.Entry[*conn]) { waiting = append(waiting, e.Conn) })
@@ -206,6 +206,9 @@
 	return t
 }
 
+// draining tells whether a planned restart has begun.
+func (s *Server) draining() bool { return s.last.Load() != 0 }
+
 // tells tells whether clients are told to connect anew.
 func (s *Server) tells() bool {
 	tell := s.tell.Load()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arrowwalk"
@@ -50,6 +51,8 @@
 	follow *discovery.Follower
 	quit   chan struct{}
 	wg     sync.WaitGroup
+
+	draining atomic.Bool // a planned restart has begun
 }
 
 // Guards that can be taken out, for proofs that must fail.
@@ -139,6 +142,7 @@
 	end := began.Add(min(p.longest(), deadlineMost) + killSpare)
 	empty := func() bool { return time.Since(began) > newMost && p.server.Conns() == 0 }
 	p.server.Drain(end.Add(-tellLeast), end.Add(-answerLeast))
+	p.draining.Store(true)
 	p.wait(ctx, end.Add(-idleLeast), empty)
 	p.server.CloseListener()
 	p.wait(ctx, end.Add(-exitLeast), func() bool {
@@ -174,6 +178,6 @@
 	s, h := p.server.Stats(), p.host.Stats()
 	open, idle, dialed := p.sender.Counts()
 	return []any{"requests", s.Requests, "bad", s.Bad, "gone", s.Gone, "yielded", s.Yielded, "turned", s.Turned,
-		"open", s.Open, "conns", s.Conns, "brick_conns", open, "brick_idle", idle, "dialed", dialed,
+		"draining", p.draining.Load(), "open", s.Open, "conns", s.Conns, "brick_conns", open, "brick_idle", idle, "dialed", dialed,
 		"ended", h.Ended, "attempts", h.Attempts, "stalls", h.Stalls, "stall_max", h.StallMax, "step_mean", h.StepMean}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -385,6 +386,84 @@
 	r.p.Stop(context.Background())
 }
 
+// In a planned restart no connection is closed for want of room while there is
+// time: its client could not connect anew.
+func TestStopKeepsACrowd(t *testing.T) {
+	r := newRig(t, Guards{}, `"sockets":256`, `"sockets":96`)
+	r.served()
+	stopped := make(chan struct{})
+	var crowd []*standin.Client
+	for n := range 12 {
+		c := r.client(fmt.Sprint("crowd", n, "-"))
+		defer c.Close()
+		crowd = append(crowd, c)
+		if got := c.Do(r.read(n)); got != 200 {
+			t.Fatal(got)
+		}
+	}
+	began := time.Now()
+	go func() {
+		r.p.Stop(context.Background())
+		close(stopped)
+	}()
+	for !r.p.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	for n := range 20 { // new ones may come for a while, and are more than are kept elsewise
+		c := r.client(fmt.Sprint("more", n, "-"))
+		defer c.Close()
+		crowd = append(crowd, c)
+		if got := c.Do(r.read(n)); got != 200 {
+			t.Fatal(got)
+		}
+	}
+	for round := 0; time.Since(began) < 2400*time.Millisecond; round++ {
+		for n, c := range crowd {
+			if got := c.Do(r.read(n)); got != 200 && time.Since(began) < 2500*time.Millisecond {
+				t.Fatalf("round %d, client %d: %d", round, n, got)
+			}
+		}
+		if conns := r.p.server.Conns(); conns < len(crowd) && time.Since(began) < 2600*time.Millisecond {
+			t.Fatalf("round %d: %d connections of %d are left", round, conns, len(crowd))
+		}
+	}
+	<-stopped
+}
+
+// Bricks, clients and ids that come and go leave nothing behind.
+func TestNothingGrows(t *testing.T) {
+	r := newRig(t, Guards{})
+	defer r.p.Stop(context.Background())
+	r.served()
+	goroutines := runtime.NumGoroutine()
+	for n := range 300 {
+		next := r.bricks[0].Entry("active") // the same place under a new name
+		next.Name = fmt.Sprint("new-", n)
+		last := next
+		last.Name, last.Status = fmt.Sprint("new-", n-1), "left"
+		if n == 0 {
+			last.Name = r.bricks[0].Name
+		}
+		r.book.Tell(last, next)
+		c := r.client(fmt.Sprint("client", n, "-"))
+		c.Do(r.read(n))
+		if got := c.Do(r.read(1)); got != 200 {
+			t.Errorf("round %d: %d", n, got)
+		}
+		c.Close()
+	}
+	for began := time.Now(); runtime.NumGoroutine() > goroutines+8; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 10*time.Second {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), goroutines)
+		}
+	}
+	s := r.p.host.State()
+	open, _, _ := r.p.sender.Counts()
+	if len(s.Members) != 2 || len(s.Nodes) != 2 || len(s.Running) != 0 || open > 4 {
+		t.Errorf("%d members, %d nodes, %d requests, %d connections to bricks are kept", len(s.Members), len(s.Nodes), len(s.Running), open)
+	}
+}
+
 // A new configuration moves the watch; a drained brick gets nothing new.
 func TestReload(t *testing.T) {
 	r := newRig(t, Guards{})
