--- a/internal/prove/platform.go
+++ b/internal/prove/platform.go
@@ -55,6 +55,7 @@
 	told     []rules.Told
 	caps     []rules.Capacity
 	away     []outage
+	stills   []rules.Still
 	faults   []string
 	owed     []string // strangers that got neither an error nor a close
 	strange  int
@@ -321,6 +322,7 @@
 		{"a brick is replaced", []step{{at(1, 2), func(context.Context) error { return d.replace(0, time.Now().UnixMicro()) }}}},
 		{"a brick dies", []step{once(at(2, 3), d.die)}},
 		{"a brick falls silent", []step{once(at(3, 4), d.fallSilent)}},
+		{"the host stands still", []step{{at(3.2, 4.2), d.standStill}}},
 		{"new configurations", []step{{at(1.5, 2.5), d.reload}, {at(3, 4), d.badReload}}},
 	}
 	end := 7 * time.Second
@@ -442,6 +444,21 @@
 	return d.putConfig(string(good))
 }
 
+// standStill stops the host's process for a while, with requests in its sockets.
+func (d *platformDay) standStill(ctx context.Context) error {
+	still := rules.Still{From: time.Now().UnixMicro()}
+	if err := d.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	err := wait(ctx, d.dice.span(0.2, 0.9))
+	d.cmd.Process.Signal(syscall.SIGCONT)
+	still.To = time.Now().UnixMicro()
+	d.mu.Lock()
+	d.stills = append(d.stills, still)
+	d.mu.Unlock()
+	return err
+}
+
 // terminate stops the host as a planned restart does.
 func (d *platformDay) terminate() error {
 	d.mu.Lock()
@@ -497,7 +514,7 @@
 		}
 	}
 	rep.Calls, rep.Sends = len(calls), len(arrivals)
-	t := &rules.Trace{Arrivals: arrivals, Calls: calls, Told: d.told, Capacities: d.caps, Figures: rules.Figures{
+	t := &rules.Trace{Arrivals: arrivals, Calls: calls, Told: d.told, Capacities: d.caps, Stills: d.stills, Figures: rules.Figures{
 		Slack: daySlack.Microseconds(), DrainGrace: platformGrace, ToldWithin: platformTold, Window: platformWindow, ColdFrom: 0.25,
 		WarmWithin: platformWarm, ColdMultiple: 4, ColdSpan: 1_000_000, ColdUnits: 29}}
 	for _, v := range rules.Check(t) {
