--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -146,9 +146,13 @@
 }
 
 // makeRoom closes what gives way: one connection at the bound, or where must
-// is set; below it, all that were idle for long. The caller holds s.mu.
+// is set; below it, all that were idle for long, but for a planned restart, in
+// which their clients could not connect anew. The caller holds s.mu.
 func (s *Server) makeRoom(must bool) {
 	full := must || s.table.Full()
+	if !full && s.draining() {
+		return
+	}
 	s.table.Victims(s.now(), func(e *giveway.Entry[*conn]) bool {
 		stage, _ := s.table.Stage(e)
 		if s.opt.NoYield && stage == giveway.Fresh {
@@ -179,7 +183,7 @@
 		}
 		waiting = waiting[:0]
 		s.mu.Lock()
-		if !s.table.Full() && !s.draining() { // who has no connection left cannot ask for room by connecting
+		if !s.table.Full() { // who has no connection left cannot ask for room by connecting
 			s.makeRoom(false)
 		}
 		s.table.Each(giveway.Open, func(e *giveway.Entry[*conn]) { waiting = append(waiting, e.Conn) })
