prove platform can break on cold bricks and on age; what was written twice is one

Cause, from reading the whole change again: the claim on cold bricks could not break (a brick was said to bear 400 units a second, four times what it was sent); nothing showed that a request's time in a socket counts; bodies and answers had a byte budget each; the drain had two flags; a scripted server stood in two tests. Change: bricks said to bear a tenth of 80 units at their start, and guards age and cold; giveway.Bytes for both; one flag; standin/texts. A brick answers too late while the host stands still.

--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -207,9 +207,11 @@
 }
 
 // Without each guard of the platform's host the proof sees it: a request hidden
-// in a body, an answer to another request, silent connections that are kept.
+// in a body, an answer to another request, silent connections that are kept,
+// requests whose time in a socket does not count, cold bricks that are pushed.
 func TestPlatformSeesMissingGuards(t *testing.T) {
-	for guard, says := range map[string]string{"framing": "stranger90", "dirty": "wrong bytes", "silent": "a silent connection is kept"} {
+	for guard, says := range map[string]string{"framing": "stranger90", "dirty": "wrong bytes", "silent": "a silent connection is kept",
+		"age": "us late", "cold": "it bears"} {
 		t.Run(guard, func(t *testing.T) {
 			t.Parallel()
 			good, out := play(t, "platform", func(o *prove.Options) { o.Guard = guard })
--- a/internal/brick/pool_test.go
+++ b/internal/brick/pool_test.go
@@ -1,10 +1,8 @@
 package brick
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"net"
 	"strings"
 	"testing"
@@ -14,43 +12,20 @@
 
 	"arrowwalk"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/standin/texts"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// answerWith accepts connections and answers each request on them with text,
-// then closes where close is set.
+// answerWith answers each request with text, then closes where hangUp is set.
 func answerWith(t *testing.T, text string, hangUp bool) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := texts.Start(hangUp, text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				in := bufio.NewReader(nc)
-				for {
-					var q http1.Request
-					if http1.NewReader(in, http1.DefaultLimits).ReadRequest(&q) != nil {
-						return
-					}
-					io.CopyN(io.Discard, in, q.Length)
-					io.WriteString(nc, text)
-					if hangUp {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	t.Cleanup(s.Stop)
+	return s.Addr()
 }
 
 // Each way an attempt can end maps to its status and reason.
--- a/internal/platform/discovery/follow.go
+++ b/internal/platform/discovery/follow.go
@@ -36,6 +36,7 @@
 	Told func(kind arrowwalk.ListKind, index int64, members []host.Member)
 	// Reached is given the addresses of all bricks that have not left.
 	Reached func(addresses []string)
+	NoStart bool // the bricks' starts are not told; for proofs that must fail
 }
 
 // Follower keeps a watch on the list, and opens it again when it ends.
@@ -60,11 +61,22 @@
 	f := &Follower{opt: opt, stop: cancel, done: make(chan struct{}), book: book{}, address: opt.Address,
 		moved: make(chan struct{}, 1)}
 	f.book.take(known)
-	opt.Told(arrowwalk.ListStored, known.Index, known.Members(opt.Zones))
+	f.tell(arrowwalk.ListStored, known)
 	go f.run(ctx, known.Index)
 	return f
 }
 
+// tell hands a list to the module.
+func (f *Follower) tell(kind arrowwalk.ListKind, l *List) {
+	members := l.Members(f.opt.Zones)
+	for i := range members {
+		if f.opt.NoStart {
+			members[i].Started = 0
+		}
+	}
+	f.opt.Told(kind, l.Index, members)
+}
+
 // Stop ends the watch.
 func (f *Follower) Stop() {
 	f.stop()
@@ -246,7 +258,7 @@
 		f.opt.Log.Warn("entries of discovery are passed over", "index", l.Index, "error", err)
 	}
 	*index = l.Index
-	f.opt.Told(l.Kind(), l.Index, l.Members(f.opt.Zones))
+	f.tell(l.Kind(), l)
 	f.book.take(l)
 	f.opt.Reached(f.book.addresses())
 	return nil
--- a/internal/platform/entry/conn.go
+++ b/internal/platform/entry/conn.go
@@ -114,12 +114,12 @@
 	if err := c.s.checker.check(&c.req, &a); err != nil {
 		return c.refuse(err)
 	}
-	held, ok := c.hold()
-	if !ok {
+	held := c.bodyMost()
+	if !c.s.bodies.Hold(held) {
 		wait := time.Duration(c.s.opt.Settings.MaxWait) * time.Microsecond
 		return c.write(503, c.retryAfter(wait), nil, true) && c.linger()
 	}
-	defer c.free(held)
+	defer c.s.bodies.Free(held)
 	body, err := c.readBody()
 	if err != nil {
 		return c.refuse(err)
@@ -134,21 +134,12 @@
 	return c.decide(&a, body)
 }
 
-// hold takes the memory of the request's body; false: there is none.
-func (c *conn) hold() (int64, bool) {
-	n := c.req.Length
+// bodyMost returns how much memory the request's body may take, bytes.
+func (c *conn) bodyMost() int64 {
 	if c.req.Chunked {
-		n = exit.BodyMost
+		return exit.BodyMost
 	}
-	c.s.mu.Lock()
-	defer c.s.mu.Unlock()
-	return n, c.s.table.Hold(n)
-}
-
-func (c *conn) free(n int64) {
-	c.s.mu.Lock()
-	c.s.table.Free(n)
-	c.s.mu.Unlock()
+	return c.req.Length
 }
 
 // readBody reads the request's body whole.
@@ -180,6 +171,9 @@
 // came returns when the request's last byte came, whenever it was read.
 func (c *conn) came() time.Time {
 	now := time.Now()
+	if c.s.opt.NoAge {
+		return now
+	}
 	if age, ok := sockage.Age(c.raw); ok && age >= sockage.Coarse && age < ageMost {
 		return now.Add(-age)
 	}
--- a/internal/platform/entry/server.go
+++ b/internal/platform/entry/server.go
@@ -38,8 +38,9 @@
 	Easy      int   // connections from which on idle ones are closed
 	BodyBytes int64 // of bodies held at once
 	// NoYield keeps silent connections, DoubleFraming takes a length beside a
-	// transfer coding; for proofs that must fail.
-	NoYield, DoubleFraming bool
+	// transfer coding, NoAge takes what is found in a socket for fresh; for proofs
+	// that must fail.
+	NoYield, DoubleFraming, NoAge bool
 }
 
 // Server serves clients on one listener.
@@ -52,6 +53,7 @@
 	stats   counters
 	last    atomic.Int64 // by then all have their final answers, nanoseconds since 1970; 0: at any time
 	tell    atomic.Int64 // from then on clients are told to connect anew; 0: they are not
+	bodies  giveway.Bytes
 	quit    chan struct{}
 	wg      sync.WaitGroup
 
@@ -73,6 +75,7 @@
 	Turned   uint64 // connections turned away, with nobody to give way
 	Open     int
 	Conns    int
+	Draining bool // a planned restart has begun
 }
 
 // Stats returns the counts so far.
@@ -81,14 +84,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Stats{c.requests.Load(), c.bad.Load(), c.gone.Load(), c.yielded.Load(), c.turned.Load(),
-		s.table.In(giveway.Open), s.table.Count()}
+		s.table.In(giveway.Open), s.table.Count(), s.draining()}
 }
 
 // Start serves ln until Stop.
 func Start(ln net.Listener, opt Options) *Server {
 	s := &Server{opt: opt, ln: ln, checker: newChecker(opt.Settings), ids: ids{open: map[string]bool{}},
-		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.Easy, opt.BodyBytes), calls: map[*exit.Call]struct{}{}, base: time.Now()}
-	s.limits = limits
+		quit: make(chan struct{}), table: giveway.NewTable[*conn](opt.Most, opt.Easy), calls: map[*exit.Call]struct{}{}, base: time.Now()}
+	s.limits, s.bodies.Most = limits, opt.BodyBytes
 	s.limits.DoubleFraming = opt.DoubleFraming
 	s.wg.Add(2)
 	go s.accept()
--- a/internal/platform/exit/body.go
+++ b/internal/platform/exit/body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"sync"
-	"sync/atomic"
 
 	"arrowwalk/internal/conns"
 	"arrowwalk/internal/http1"
@@ -23,22 +22,6 @@
 // errMemory tells that there is no memory to hold one more answer.
 var errMemory = errors.New("no memory for an answer")
 
-// memory is what answers that are held take together.
-type memory struct {
-	most int64
-	held atomic.Int64
-}
-
-func (m *memory) take(n int) bool {
-	if m.held.Add(int64(n)) <= m.most {
-		return true
-	}
-	m.held.Add(-int64(n))
-	return false
-}
-
-func (m *memory) give(n int) { m.held.Add(-int64(n)) }
-
 // blocks are buffers of blockLeast bytes for reuse.
 var blocks = sync.Pool{New: func() any { return make([]byte, 0, blockLeast) }}
 
@@ -46,7 +29,7 @@
 // more.
 func (c *Call) Free() {
 	if n := cap(c.Answer); n > 0 {
-		c.sender.memory.give(n)
+		c.sender.memory.Free(int64(n))
 		if n == blockLeast {
 			blocks.Put(c.Answer[:0])
 		}
@@ -57,7 +40,7 @@
 // grow gives the answer room for more, within want bytes in all.
 func (c *Call) grow(want int64) error {
 	n := min(max(2*cap(c.Answer), blockLeast), int(max(want, blockLeast)))
-	if !c.sender.memory.take(n) {
+	if !c.sender.memory.Hold(int64(n)) {
 		return errMemory
 	}
 	var next []byte
--- a/internal/platform/exit/exit.go
+++ b/internal/platform/exit/exit.go
@@ -14,6 +14,7 @@
 	"arrowwalk/internal/conns"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/platform/giveway"
 )
 
 // Header fields of the platform that both of its sides use.
@@ -54,12 +55,12 @@
 type Sender struct {
 	opt    Options
 	pool   *conns.Pool
-	memory memory
+	memory giveway.Bytes
 }
 
 // NewSender returns a Sender without connections.
 func NewSender(opt Options) *Sender {
-	return &Sender{opt: opt, memory: memory{most: opt.Bytes}, pool: conns.NewPool(conns.Options{IdleEach: opt.Most, IdleFor: opt.IdleFor,
+	return &Sender{opt: opt, memory: giveway.Bytes{Most: opt.Bytes}, pool: conns.NewPool(conns.Options{IdleEach: opt.Most, IdleFor: opt.IdleFor,
 		DialTimeout: opt.DialTimeout, Buffer: 2 << 10, Most: opt.Most, Limits: limits, Blind: opt.KeepDirty})}
 }
 
--- a/internal/platform/exit/exit_test.go
+++ b/internal/platform/exit/exit_test.go
@@ -1,9 +1,7 @@
 package exit
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"strings"
@@ -15,6 +13,7 @@
 	"arrowwalk"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/standin/texts"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,43 +29,16 @@
 	return h
 }
 
-// brick answers the requests of each connection with the texts, in turn, then
-// leaves the connection open, or closes it where hangUp is set. It returns its
+// brick answers the requests of each connection with the texts. It returns its
 // address, and the heads that it saw.
-func brick(t *testing.T, hangUp bool, texts ...string) (string, chan http1.Request) {
+func brick(t *testing.T, hangUp bool, says ...string) (string, chan http1.Request) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := texts.Start(hangUp, says...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	seen := make(chan http1.Request, 100)
-	done := make(chan struct{})
-	t.Cleanup(func() { ln.Close(); close(done) })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				in := bufio.NewReader(nc)
-				for _, text := range texts {
-					var q http1.Request
-					if http1.NewReader(in, http1.DefaultLimits).ReadRequest(&q) != nil {
-						return
-					}
-					io.CopyN(io.Discard, in, q.Length)
-					seen <- q
-					io.WriteString(nc, text)
-				}
-				if !hangUp {
-					<-done
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String(), seen
+	t.Cleanup(s.Stop)
+	return s.Addr(), s.Seen
 }
 
 func newCall(s *Sender) *Call {
@@ -162,11 +134,11 @@
 		hangUp bool
 		dials  int64
 	}{{good, false, 1}, {good + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", false, 2}, {good, true, 2}} {
-		texts := []string{c.first, good, good}
+		says := []string{c.first, good}
 		if c.hangUp {
-			texts = texts[:1]
+			says = says[:1]
 		}
-		addr, _ := brick(t, c.hangUp, texts...)
+		addr, _ := brick(t, c.hangUp, says...)
 		_, _, before := s.Counts()
 		for i := range 2 {
 			if i == 1 && c.hangUp { // until the close has come over
@@ -243,17 +215,17 @@
 		if r := try(call, addr, 5*time.Second); r.Status != arrowwalk.OK || string(call.Answer) != long {
 			t.Errorf("%d: %+v, %d bytes", i, r, len(call.Answer))
 		}
-		if held := s.memory.held.Load(); held < int64(len(long)) || held > 2<<20 {
+		if held := s.memory.Held(); held < int64(len(long)) || held > 2<<20 {
 			t.Errorf("%d: %d bytes held", i, held)
 		}
-		s.memory.most = 450_000 // too little for one more
+		s.memory.Most = 450_000 // too little for one more
 		addr, _ = brick(t, false, text)
 		if r := try(newCall(s), addr, 5*time.Second); r.Status != arrowwalk.Failed {
 			t.Errorf("%d: with no memory left: %+v", i, r)
 		}
-		s.memory.most = 2 << 20
+		s.memory.Most = 2 << 20
 		call.Free()
-		if held := s.memory.held.Load(); held != 0 {
+		if held := s.memory.Held(); held != 0 {
 			t.Errorf("%d: %d bytes are held after all", i, held)
 		}
 	}
--- a/internal/platform/giveway/giveway.go
+++ b/internal/platform/giveway/giveway.go
@@ -32,8 +32,6 @@
 type Table[C any] struct {
 	most  int // connections
 	easy  int // from this number on idle ones give way
-	bytes int64
-	held  int64
 	lists [stages]list.List
 	count int
 }
@@ -47,9 +45,9 @@
 }
 
 // NewTable returns a Table of at most most connections, of which idle ones give
-// way from easy on, and bytes of bodies.
-func NewTable[C any](most, easy int, bytes int64) *Table[C] {
-	return &Table[C]{most: most, easy: easy, bytes: bytes}
+// way from easy on.
+func NewTable[C any](most, easy int) *Table[C] {
+	return &Table[C]{most: most, easy: easy}
 }
 
 // Add takes a new connection in.
@@ -129,18 +127,6 @@
 // Full tells whether no more connections may be held.
 func (t *Table[C]) Full() bool { return t.count >= t.most }
 
-// Hold takes n bytes of a body; false: memory is short, and who asks gives way.
-func (t *Table[C]) Hold(n int64) bool {
-	if t.held+n > t.bytes {
-		return false
-	}
-	t.held += n
-	return true
-}
-
-// Free gives n bytes back.
-func (t *Table[C]) Free(n int64) { t.held -= n }
-
 // Each calls do with every connection in a stage; do may move or remove it.
 func (t *Table[C]) Each(s Stage, do func(*Entry[C])) {
 	for at := t.lists[s].Front(); at != nil; {
--- a/internal/platform/giveway/giveway_test.go
+++ b/internal/platform/giveway/giveway_test.go
@@ -18,7 +18,7 @@
 // do; at the bound the oldest that never sent a request, and an open request
 // never.
 func TestWhoGivesWay(t *testing.T) {
-	tab := NewTable[string](6, 3, 100)
+	tab := NewTable[string](6, 3)
 	add := func(name string, at int64, to Stage) *Entry[string] {
 		e := tab.Add(name, at)
 		tab.Move(e, to, at)
@@ -55,7 +55,7 @@
 
 // Connections are kept while there is room, then those that were used again.
 func TestWhatIsKept(t *testing.T) {
-	tab := NewTable[int](20, 4, 0)
+	tab := NewTable[int](20, 4)
 	for n := range 8 {
 		for _, first := range []bool{true, false} {
 			if got, want := tab.Keep(first), n < 4 || !first && n < 6; got != want {
@@ -66,13 +66,13 @@
 	}
 }
 
-func TestBodiesAreBounded(t *testing.T) {
-	tab := NewTable[string](1, 1, 100)
-	if !tab.Hold(60) || tab.Hold(41) || !tab.Hold(40) {
+func TestBytesAreBounded(t *testing.T) {
+	b := Bytes{Most: 100}
+	if !b.Hold(60) || b.Hold(41) || !b.Hold(40) || b.Held() != 100 {
 		t.Error("the bound of 100 bytes does not hold")
 	}
-	tab.Free(60)
-	if !tab.Hold(60) {
+	b.Free(60)
+	if !b.Hold(60) {
 		t.Error("what was freed cannot be had")
 	}
 }
@@ -81,7 +81,7 @@
 // open request is named.
 func TestAgainstAPlainList(t *testing.T) {
 	dice := rand.New(rand.NewPCG(1, 2))
-	tab := NewTable[int](40, 20, 0)
+	tab := NewTable[int](40, 20)
 	stage := map[*Entry[int]]Stage{}
 	for now := range int64(20_000) {
 		switch n := dice.IntN(10); {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"arrowwalk"
@@ -51,8 +50,6 @@
 	follow *discovery.Follower
 	quit   chan struct{}
 	wg     sync.WaitGroup
-
-	draining atomic.Bool // a planned restart has begun
 }
 
 // Guards that can be taken out, for proofs that must fail.
@@ -60,6 +57,8 @@
 	DoubleFraming bool // a length beside a transfer coding is taken
 	KeepDirty     bool // a connection with bytes behind its answer is used again
 	NoYield       bool // silent connections are kept
+	NoAge         bool // what is found in a client's socket is taken for fresh
+	NoStart       bool // bricks are taken for warm, whenever they started
 }
 
 // Start serves as cfg says until Stop.
@@ -82,9 +81,9 @@
 		IdleFor: time.Duration(idlePart * float64(span(set.IdleClose, 10*time.Second))), Most: b.bricks,
 		Longest: p.longest(), Bytes: b.answers, KeepDirty: without.KeepDirty})
 	p.follow = discovery.Start(cfg.Known, discovery.Options{Address: cfg.Discovery, Zones: discovery.NewZones(set.Zones),
-		Log: log, Told: h.Nodes, Reached: p.sender.Keep})
+		Log: log, Told: h.Nodes, Reached: p.sender.Keep, NoStart: without.NoStart})
 	p.server = entry.Start(ln, entry.Options{Host: h, Sender: p.sender, Settings: &p.cfg.Settings.Settings, Log: log,
-		Most: b.clients, Easy: b.easy, BodyBytes: b.bodies, NoYield: without.NoYield, DoubleFraming: without.DoubleFraming})
+		Most: b.clients, Easy: b.easy, BodyBytes: b.bodies, NoYield: without.NoYield, DoubleFraming: without.DoubleFraming, NoAge: without.NoAge})
 	p.wg.Add(1)
 	go p.sweep()
 	return p, nil
@@ -142,7 +141,6 @@
 	end := began.Add(min(p.longest(), deadlineMost) + killSpare)
 	empty := func() bool { return time.Since(began) > newMost && p.server.Conns() == 0 }
 	p.server.Drain(end.Add(-tellLeast), end.Add(-answerLeast))
-	p.draining.Store(true)
 	p.wait(ctx, end.Add(-idleLeast), empty)
 	p.server.CloseListener()
 	p.wait(ctx, end.Add(-exitLeast), func() bool {
@@ -178,6 +176,6 @@
 	s, h := p.server.Stats(), p.host.Stats()
 	open, idle, dialed := p.sender.Counts()
 	return []any{"requests", s.Requests, "bad", s.Bad, "gone", s.Gone, "yielded", s.Yielded, "turned", s.Turned,
-		"draining", p.draining.Load(), "open", s.Open, "conns", s.Conns, "brick_conns", open, "brick_idle", idle, "dialed", dialed,
+		"draining", s.Draining, "open", s.Open, "conns", s.Conns, "brick_conns", open, "brick_idle", idle, "dialed", dialed,
 		"ended", h.Ended, "attempts", h.Attempts, "stalls", h.Stalls, "stall_max", h.StallMax, "step_mean", h.StepMean}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -406,7 +406,7 @@
 		r.p.Stop(context.Background())
 		close(stopped)
 	}()
-	for !r.p.draining.Load() {
+	for !r.p.server.Stats().Draining {
 		time.Sleep(time.Millisecond)
 	}
 	for n := range 20 { // new ones may come for a while, and are more than are kept elsewise
--- a/internal/prove/platform.go
+++ b/internal/prove/platform.go
@@ -30,8 +30,11 @@
 	platformGrace   = 500_000
 	platformWindow  = 4_000_000
 	platformWarm    = 3_000_000
-	platformUnits   = 400.0 // units a second that a warm brick does
+	platformUnits   = 80.0 // units a second that a warm brick does
+	platformCold    = 0.1  // part of that at its start
+	platformBears   = 20   // units a second that a cold one always bears
 	platformTold    = 300_000
+	platformWork    = 3 * time.Millisecond
 )
 
 // platformDay is a run of one host on the platform's protocol.
@@ -140,7 +143,7 @@
 		return []standin.Fault{standin.Noise, standin.BadHead, standin.Endless, standin.Misfit, standin.Huge, standin.Error, standin.Full,
 			standin.Break, standin.Twice, standin.Behind, standin.Informs, standin.BadTold}[draw.IntN(12)]
 	}
-	b.Take(time.Duration(float64(time.Second) / platformUnits))
+	b.Take(platformWork)
 	if err := b.Start(d.log); err != nil {
 		return err
 	}
@@ -188,12 +191,12 @@
 	return fmt.Sprintf(`{"peersTotal":1,"ordinal":0,"periodUs":2000,"zones":["a","b"],
  "categories":[{"name":"fetch-text","aimUs":300000,"deadlineUs":%[1]d,"worth":2,"lateWorth":0.2,"repeat":"read_like"},
   {"name":"save-paper","aimUs":400000,"deadlineUs":%[1]d,"worth":2,"lateWorth":0.2,"repeat":"idempotency_key","dedupScope":"cell","windowUs":%[2]d}],
- "familyInfo":{"changesData":[false,true],"coldBears":29,"mostUnits":6,"unitMean":1,"saysOthers":true,"meterUs":1000000,"shards":%[3]d,"withinShare":0.35,"beyondShare":0.08},
+ "familyInfo":{"changesData":[false,true],"coldBears":%[6]d,"mostUnits":6,"unitMean":1,"saysOthers":true,"meterUs":1000000,"shards":%[3]d,"withinShare":0.35,"beyondShare":0.08},
  "limits":{"maxAttempts":4,"maxRetryAfterUs":500000,"retryAfter":true,"cancel":true,"parallelTries":true,"connectTimeoutUs":250000,"idleCloseUs":5000000},
  "reporting":{"fields":["util"],"how":"inline"},
- "rules":{"coldFrom":0.25,"drainGraceUs":%[4]d,"fallUs":1000000,"overloadFactor":4,"warmWithinUs":%[5]d},
+ "rules":{"coldFrom":%[7]g,"drainGraceUs":%[4]d,"fallUs":1000000,"overloadFactor":4,"warmWithinUs":%[5]d},
  "serviceLevels":[{"name":"basic","usualRate":200,"parts":1,"worthFactor":1},{"name":"campus","usualRate":200,"reservation":100,"parts":1,"worthFactor":1}]}`,
-		platformWait.Microseconds(), platformWindow, platformGroups, platformGrace, platformWarm)
+		platformWait.Microseconds(), platformWindow, platformGroups, platformGrace, platformWarm, platformBears, platformCold)
 }
 
 // start starts the host and waits until it says that it serves.
@@ -444,19 +447,28 @@
 	return d.putConfig(string(good))
 }
 
-// standStill stops the host's process for a while, with requests in its sockets.
+// standStill stops the host's process for a while, with requests in its sockets,
+// and has a brick answer too late what is sent when it goes on.
 func (d *platformDay) standStill(ctx context.Context) error {
+	d.mu.Lock()
+	b := d.bricks[1]
+	d.mu.Unlock()
+	b.Take(2 * platformWait)
+	defer b.Take(platformWork)
 	still := rules.Still{From: time.Now().UnixMicro()}
 	if err := d.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	err := wait(ctx, d.dice.span(0.2, 0.9))
+	err := wait(ctx, d.dice.span(0.6, 0.9))
 	d.cmd.Process.Signal(syscall.SIGCONT)
 	still.To = time.Now().UnixMicro()
 	d.mu.Lock()
 	d.stills = append(d.stills, still)
 	d.mu.Unlock()
-	return err
+	if err != nil {
+		return err
+	}
+	return wait(ctx, 100*time.Millisecond)
 }
 
 // terminate stops the host as a planned restart does.
@@ -515,8 +527,8 @@
 	}
 	rep.Calls, rep.Sends = len(calls), len(arrivals)
 	t := &rules.Trace{Arrivals: arrivals, Calls: calls, Told: d.told, Capacities: d.caps, Stills: d.stills, Figures: rules.Figures{
-		Slack: daySlack.Microseconds(), DrainGrace: platformGrace, ToldWithin: platformTold, Window: platformWindow, ColdFrom: 0.25,
-		WarmWithin: platformWarm, ColdMultiple: 4, ColdSpan: 1_000_000, ColdUnits: 29}}
+		Slack: daySlack.Microseconds(), DrainGrace: platformGrace, ToldWithin: platformTold, Window: platformWindow, ColdFrom: platformCold,
+		WarmWithin: platformWarm, ColdMultiple: 4, ColdSpan: 1_000_000, ColdUnits: platformBears}}
 	for _, v := range rules.Check(t) {
 		rep.Claims = append(rep.Claims, Claim{v.String(), v.Broken})
 	}
@@ -533,7 +545,7 @@
 	}
 	rep.add(d.log.Foreign, "claim bricks see what usual clients sent: %d arrivals, %d broken", len(arrivals), len(d.log.Foreign))
 	rep.add(d.owed, "claim strangers get an error or a close in time: %d strangers, %d broken", d.strange, len(d.owed))
-	rep.add(over, "claim descriptors and memory stay within their limits: %d looks at most, %d broken", d.sockets, len(over))
+	rep.add(over, "claim descriptors and memory stay within their limits: %d descriptors at most, %d broken", d.sockets, len(over))
 	rep.add(few, "claim usual clients are served beside all this: %d requests, %d broken", len(calls), len(few))
 	rep.add(d.faults, "claim the host starts, reloads and ends as told: %d broken", len(d.faults))
 	return nil
