--- a/review/case/main.go
+++ b/review/case/main.go
@@ -27,6 +27,7 @@
 	"drain-stall":  onPlatform(pasig, playDrainStall),
 	"drain-outage": onPlatform(pasig, playDrainOutage),
 	"limit":        onPlatform(results, playLimit),
+	"cold":         onPlatform(throng, playCold),
 }
 
 // onPlatform returns a play on hosts of the users' platform.
--- a/review/case/site.go
+++ b/review/case/site.go
@@ -30,8 +30,10 @@
 
 // pasig returns pasig-main as its brief and site file describe it: 3 hosts and 9
 // disk boxes, with the settings of the wire page's example.
-func pasig() siteOptions {
-	opt := siteOptions{hosts: 3, groups: 9, drainGrace: 500 * time.Millisecond,
+func pasig() siteOptions { return pasigOf(3) }
+
+func pasigOf(hosts int) siteOptions {
+	opt := siteOptions{hosts: hosts, groups: 9, drainGrace: 500 * time.Millisecond,
 		classes: []class{{name: "fetch-text", deadline: 2500 * time.Millisecond}, {name: "save-paper", writes: true, keyed: true, deadline: 2500 * time.Millisecond}},
 		work:    func() time.Duration { return between(30*time.Millisecond, 70*time.Millisecond) }}
 	opt.settings = func(ordinal int) string {
@@ -59,6 +61,9 @@
 	return opt
 }
 
+// throng returns pasig-main with 20 hosts.
+func throng() siteOptions { return pasigOf(20) }
+
 // results returns results-store as its brief and site file describe it: 3 hosts
 // and 9 store nodes. Requests of count-write with one key run in order.
 func results() siteOptions {
