--- a/review/case/client.go
+++ b/review/case/client.go
@@ -32,6 +32,7 @@
 	answered time.Time // the answer's last byte, or the end without one
 	how      string    // how it ended
 	cut      time.Time // when the host ended the first connection without a byte
+	first    bool      // it was the first request on the connection that was cut
 	key      uint64    // the piece of data; 0: one of its own
 	body     string    // of a write
 	arrivals []arrival
@@ -186,7 +187,7 @@
 		cc.nc.Close()
 		w.mu.Lock()
 		if c.cut.IsZero() {
-			c.cut = time.Now()
+			c.cut, c.first = time.Now(), !cc.used
 		}
 		w.mu.Unlock()
 		if netErr, ok := err.(net.Error); ok && netErr.Timeout() {
--- a/review/case/shutdown.go
+++ b/review/case/shutdown.go
@@ -90,8 +90,8 @@
 		switch {
 		case c.sent.IsZero():
 		case !c.cut.IsZero() && c.cut.Sub(c.sent) > crossing && c.cut.Before(c.sent.Add(c.timeout)):
-			found = append(found, fmt.Sprintf("%s: host %s ended its connection without an answer %d ms after its last byte, with %d ms of its time left; attempts at bricks: %d",
-				c.id, c.host.name, c.cut.Sub(c.sent).Milliseconds(), (c.timeout-c.cut.Sub(c.sent)).Milliseconds(), len(c.arrivals)))
+			found = append(found, fmt.Sprintf("%s: host %s ended its connection without an answer %d ms after its last byte, with %d ms of its time left; first on its connection: %v, attempts at bricks: %d",
+				c.id, c.host.name, c.cut.Sub(c.sent).Milliseconds(), (c.timeout-c.cut.Sub(c.sent)).Milliseconds(), c.first, len(c.arrivals)))
 		case c.cut.IsZero() && !c.whole:
 			found = append(found, fmt.Sprintf("%s of host %s: %s", c.id, c.host.name, c.how))
 		}
