Platform: a stopping host exits only after its last response

What callers saw: in a planned restart a host that stood still for 0.15 s around the last 0.2 s before SIGKILL may come closed the connections of all requests that it held, without a response, while their clients had up to 2.2 s left.

Cause: Instance.Stop (internal/platform/platform.go) waited for the clock alone. Requests end by timers at 0.2 s before the kill, and at 0.1 s before it Stop went on to frontend.Server.Stop, which closes every connection. A stall that covers both times finds the second one passed before the timers have run, or before the responses that they decided are written.

Change: the phases of a shutdown are decided in internal/platform/shutdown, pure: each phase is entered even if a stall covers several of their times, and the exit waits while a request is unanswered, for at most 2 s in which the process ran. What is cut all the same is logged and counted (unanswered). Why it works: after a stall the timers are due, so the responses are written as soon as the process runs, and nothing closes their connections before.

--- a/internal/platform/frontend/conn.go
+++ b/internal/platform/frontend/conn.go
@@ -338,7 +338,7 @@
 	}
 	b = append(b, "\r\n"...)
 	c.writeBuf = b
-	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.nc.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	if len(body) > maxCopyBytes { // one vectored write without a copy
 		_, err := (&net.Buffers{b, body}).WriteTo(c.nc)
 		return err == nil
--- a/internal/platform/frontend/server.go
+++ b/internal/platform/frontend/server.go
@@ -15,6 +15,7 @@
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/platform/eviction"
+	"arrowwalk/internal/platform/shutdown"
 	"arrowwalk/internal/platform/upstream"
 	"arrowwalk/internal/sockstate"
 )
@@ -22,10 +23,12 @@
 const (
 	firstRequestTimeout     = 2 * time.Second        // from the connect to the end of the first request
 	readTimeout             = 2 * time.Second        // from the first byte of a later request to its end
-	writeTimeout            = 2 * time.Second        // for a response
 	lingerTimeout           = 500 * time.Millisecond // of a lingering close, so that the client can read its response
 	disconnectCheckInterval = 50 * time.Millisecond
 
+	// WriteTimeout bounds the write of a response.
+	WriteTimeout = 2 * time.Second
+
 	// finalAcceptTimeout is how long a closing listener accepts the connections that
 	// are already established.
 	finalAcceptTimeout = 2 * time.Millisecond
@@ -305,9 +308,11 @@
 }
 
 // CloseListener accepts the connections that are already established and then
-// closes the listener.
+// closes the listener. Calling it again has no effect.
 func (s *Server) CloseListener() {
-	s.listenerClosing.Store(true)
+	if s.listenerClosing.Swap(true) {
+		return
+	}
 	s.setAcceptDeadline(time.Unix(1, 0)) // in the past: wakes a waiting Accept
 	<-s.acceptDone
 	s.ln.Close()
@@ -320,12 +325,41 @@
 	return s.table.Count()
 }
 
+// Connections returns the numbers of connections that a graceful shutdown goes by.
+// Every connection that is not being closed counts as unanswered, which is exact
+// after CloseIdle.
+func (s *Server) Connections() shutdown.Connections {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := s.table.Count()
+	return shutdown.Connections{Open: open, Unanswered: open - s.table.CountIn(eviction.StateClosing)}
+}
+
+// countUnanswered returns the number of connections with a request, or a part of
+// one, that has no final response. The caller holds s.mu.
+func (s *Server) countUnanswered() int {
+	n := 0
+	for _, state := range [...]eviction.State{eviction.StateFirstRequest, eviction.StateReading, eviction.StateWaiting} {
+		n += s.table.CountIn(state)
+	}
+	for _, state := range [...]eviction.State{eviction.StateNew, eviction.StateIdle} {
+		s.table.ForEach(state, func(e *eviction.Entry[*conn]) {
+			if e.Conn.hasUnreadData() {
+				n++
+			}
+		})
+	}
+	return n
+}
+
 // Stop closes the listener and all connections at once, aborts the requests in
-// progress and waits for the server's goroutines.
-func (s *Server) Stop() {
+// progress and waits for the server's goroutines. It returns the number of
+// connections with an unanswered request.
+func (s *Server) Stop() (unanswered int) {
 	s.ln.Close()
 	close(s.done)
 	s.mu.Lock()
+	unanswered = s.countUnanswered()
 	for state := eviction.StateNew; state <= eviction.StateClosing; state++ {
 		s.table.ForEach(state, func(e *eviction.Entry[*conn]) {
 			e.Conn.nc.Close()
@@ -337,4 +371,5 @@
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
+	return unanswered
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,24 +16,10 @@
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/platform/discovery"
 	"arrowwalk/internal/platform/frontend"
+	"arrowwalk/internal/platform/shutdown"
 	"arrowwalk/internal/platform/upstream"
 )
 
-// Timeline of a graceful shutdown. The platform kills the process no sooner than
-// killGrace after the longest deadline of a request, or after maxDeadline if that
-// is shorter. Clients continue to use their open connections and cannot reach
-// another host on them, so they are served for as long as responses can still be
-// on time. The times named beforeEnd count back from the kill.
-const (
-	killGrace             = 700 * time.Millisecond
-	maxDeadline           = 3 * time.Second
-	newConnsPeriod        = 650 * time.Millisecond // after the signal; clients open no new connections later
-	reconnectBeforeEnd    = 500 * time.Millisecond // responses ask clients to reconnect
-	closeIdleBeforeEnd    = 350 * time.Millisecond // connections between requests are closed
-	lastResponseBeforeEnd = 200 * time.Millisecond // every received request has its final response
-	exitBeforeEnd         = 100 * time.Millisecond
-)
-
 const (
 	shutdownPollInterval = 5 * time.Millisecond
 	idleSweepInterval    = time.Second
@@ -59,6 +45,8 @@
 	follower *discovery.Follower
 	done     chan struct{} // closed by Stop
 	wg       sync.WaitGroup
+
+	unanswered int // requests without a response at the end of Stop
 }
 
 // DisabledGuards switches off individual guards. It exists for negative tests,
@@ -200,20 +188,12 @@
 // answers the requests in progress. It returns earlier if no client is left, or if
 // ctx ends.
 func (inst *Instance) Stop(ctx context.Context) {
-	began := time.Now()
-	end := began.Add(min(inst.longestDeadline(), maxDeadline) + killGrace)
-	noClients := func() bool { return time.Since(began) > newConnsPeriod && inst.server.ConnCount() == 0 }
-	inst.server.Drain(end.Add(-reconnectBeforeEnd), end.Add(-lastResponseBeforeEnd))
-	inst.waitUntil(ctx, end.Add(-closeIdleBeforeEnd), noClients)
-	inst.server.CloseListener()
-	inst.waitUntil(ctx, end.Add(-exitBeforeEnd), func() bool {
-		inst.server.CloseIdle()
-		if !time.Now().Before(end.Add(-lastResponseBeforeEnd)) {
-			inst.server.ExpireReads()
-		}
-		return inst.server.ConnCount() == 0
-	})
-	inst.server.Stop()
+	timeline := shutdown.NewTimeline(time.Now(), inst.longestDeadline())
+	inst.server.Drain(timeline.ReconnectFrom, timeline.LastResponse)
+	inst.awaitResponses(ctx, shutdown.NewSequence(timeline, frontend.WriteTimeout))
+	if inst.unanswered = inst.server.Stop(); inst.unanswered > 0 {
+		inst.log.Warn("shutdown ends with unanswered requests", "unanswered", inst.unanswered)
+	}
 	inst.follower.Stop()
 	inst.host.Close()
 	inst.sender.Close()
@@ -221,13 +201,20 @@
 	inst.wg.Wait()
 }
 
-// waitUntil waits until deadline, until condition returns true, or until ctx ends.
-// A nil condition is never true.
-func (inst *Instance) waitUntil(ctx context.Context, deadline time.Time, condition func() bool) {
+// awaitResponses carries out the phases of a shutdown until it is done or ctx
+// ends.
+func (inst *Instance) awaitResponses(ctx context.Context, sequence *shutdown.Sequence) {
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
-	for time.Now().Before(deadline) {
-		if condition != nil && condition() {
+	for {
+		switch sequence.Advance(time.Now(), inst.server.Connections()) {
+		case shutdown.Closing:
+			inst.server.CloseListener()
+			inst.server.CloseIdle()
+		case shutdown.Answering:
+			inst.server.CloseIdle()
+			inst.server.ExpireReads()
+		case shutdown.Done:
 			return
 		}
 		select {
@@ -244,5 +231,5 @@
 	open, idle, dialed := inst.sender.Counts()
 	return []any{"requests", s.Requests, "bad", s.Rejected, "gone", s.ClientsGone, "evicted", s.Evicted, "turned", s.TurnedAway,
 		"draining", s.Draining, "open", s.Open, "conns", s.Conns, "brick_conns", open, "brick_idle", idle, "dialed", dialed,
-		"ended", h.Ended, "attempts", h.Attempts, "stalls", h.Stalls, "stall_max", h.MaxStall, "step_mean", h.MeanStepTime}
+		"unanswered", inst.unanswered, "ended", h.Ended, "attempts", h.Attempts, "stalls", h.Stalls, "stall_max", h.MaxStall, "step_mean", h.MeanStepTime}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -21,7 +22,18 @@
 	standin "arrowwalk/internal/standin/platform"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain lets the test binary also run a host, so that tests can stall its
+// process.
+func TestMain(m *testing.M) {
+	if path := os.Getenv(childHostEnv); path != "" {
+		if err := runChildHost(path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const settingsText = `{"peersTotal":1,"ordinal":0,"periodUs":2000,"zones":["a"],"novelty":{"x":1},
  "categories":[{"name":"fetch-text","aimUs":400000,"deadlineUs":2500000,"worth":2,"repeat":"read_like"},
