Gateway: a stall does not use up the time that a graceful stop waits

What callers saw: a gateway that was told to stop and then stood still for longer than its stop may take (the longest deadline and 2 s) closed the connections of the requests that it held, without a response.

Cause: the same as on the platform. `serve` bounded the stop by context.WithTimeout (cmd/arrowwalk/serve.go), a bound on the clock; after the stall it had passed at the same moment at which the requests' timers were due, and s3.Server.waitForConns closed all connections.

Change: internal/stall.ActiveTime measures time in which the process ran, and internal/activetime.WithTimeout bounds the stop by it. The platform's shutdown uses the same measure in place of its own. Why it works: after the stall the bound still has the time that it had before, and the timers answer at once.

--- a/cmd/arrowwalk/serve.go
+++ b/cmd/arrowwalk/serve.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"arrowwalk/internal/activetime"
 	"arrowwalk/internal/brickd"
 	"arrowwalk/internal/config"
 	"arrowwalk/internal/gateway"
@@ -97,7 +98,7 @@
 	<-stop.Done()
 	cancel() // a second signal ends the process at once
 	g.log.Info("stopping", "reason", "signal")
-	within, done := context.WithTimeout(context.Background(), gw.MaxStopDuration())
+	within, done := activetime.WithTimeout(context.Background(), gw.MaxStopDuration())
 	defer done()
 	gw.Stop(within)
 	g.log.Info("stopped")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -405,7 +405,7 @@
 }
 
 // MaxStopDuration returns the longest time that a request in progress may
-// still need.
+// still need, if the process runs.
 func (g *Gateway) MaxStopDuration() time.Duration {
 	c := g.opts.Config
 	return config.MS(max(c.Classes.Read.DeadlineMS, c.Classes.Write.DeadlineMS)) + 2*time.Second
--- a/internal/platform/shutdown/shutdown.go
+++ b/internal/platform/shutdown/shutdown.go
@@ -4,7 +4,11 @@
 // times and the numbers of connections.
 package shutdown
 
-import "time"
+import (
+	"time"
+
+	"arrowwalk/internal/stall"
+)
 
 // The platform kills the process no sooner than killGrace after the longest
 // deadline of a request, or after maxDeadline if that is shorter. The times named
@@ -65,18 +69,12 @@
 	Unanswered int // connections with a request, or a part of one, that has no final response
 }
 
-// MaxPollGap is the longest time between two calls of Advance that counts as time
-// in which the process ran. A longer gap is a stall of the process, in which no
-// response could be written.
-const MaxPollGap = 20 * time.Millisecond
-
 // Sequence leads a shutdown through its phases. It is not safe for concurrent use.
 type Sequence struct {
 	timeline      Timeline
 	maxAnswerTime time.Duration
 	phase         Phase
-	advancedAt    time.Time
-	answerTime    time.Duration // for which the process has run since Answering began
+	answering     *stall.ActiveTime // since Answering began
 }
 
 // NewSequence returns a Sequence in the phase Serving. maxAnswerTime bounds the
@@ -89,8 +87,6 @@
 // most one phase a call, so that each phase takes effect even if the process was
 // stalled through several of their times.
 func (s *Sequence) Advance(now time.Time, conns Connections) Phase {
-	ran := min(now.Sub(s.advancedAt), MaxPollGap)
-	s.advancedAt = now
 	switch s.phase {
 	case Serving:
 		noClients := conns.Open == 0 && now.After(s.timeline.AcceptUntil)
@@ -101,10 +97,9 @@
 		if conns.Open == 0 {
 			s.phase = Done
 		} else if !now.Before(s.timeline.LastResponse) {
-			s.phase = Answering
+			s.phase, s.answering = Answering, stall.NewActiveTime(now.UnixMicro())
 		}
 	case Answering:
-		s.answerTime += ran
 		if s.mayExit(now, conns) {
 			s.phase = Done
 		}
@@ -116,7 +111,8 @@
 // while a request is unanswered: a stalled process finds the time to exit passed
 // before it had a chance to write the responses.
 func (s *Sequence) mayExit(now time.Time, conns Connections) bool {
-	if conns.Open == 0 || s.answerTime >= s.maxAnswerTime {
+	answerTime := time.Duration(s.answering.Observe(now.UnixMicro())) * time.Microsecond
+	if conns.Open == 0 || answerTime >= s.maxAnswerTime {
 		return true
 	}
 	return conns.Unanswered == 0 && !now.Before(s.timeline.ExitFrom)
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -143,3 +143,21 @@
 		t.Errorf("a long stall holds new work back for %d us", c.Deadline())
 	}
 }
+
+// ActiveTime counts the time between regular observations in full and a stall as a
+// short gap. A clock that steps back takes nothing away.
+func TestActiveTime(t *testing.T) {
+	const interval = 5_000
+	a, now := NewActiveTime(1_000), int64(1_000)
+	for range 100 {
+		now += interval
+		a.Observe(now)
+	}
+	now += 60_000_000
+	if got, want := a.Observe(now), int64(100*interval+maxObservationGapMicros); got != want {
+		t.Errorf("%d after a stall, want %d", got, want)
+	}
+	if got, want := a.Observe(now-1_000_000), int64(100*interval+maxObservationGapMicros); got != want {
+		t.Errorf("%d after a step back, want %d", got, want)
+	}
+}
