Platform: a planned restart counts from the start of a stall that hid its signal

What callers saw: a host that stood still when SIGTERM came gave its last responses later by the length of the stall. The platform counts SIGKILL from the signal, so a second hold-up, or one of over 0.2 s, has it killed with requests unanswered.

Cause: Instance.Stop took the moment at which the process noticed the signal for the moment at which it came.

Evidence: TestStopCountsFromTheStartOfAStall on the code before this change, SIGTERM in a stall of 3.7 s, after which SIGKILL may come: 3 of 3 runs broken, the response came 3.50 s after the stall's end.

Why it works: the detector knows a stall before the process does anything else, and the signal cannot have come earlier than its start, or the process would have noticed it.

Result: the test passed in 3 of 3 runs side by side with the race detector, the platform's packages pass. Without a stall all times are as before.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,7 @@
 const (
 	shutdownPollInterval = 5 * time.Millisecond
 	idleSweepInterval    = time.Second
+	signalDeliveryTime   = 20 * time.Millisecond   // within which a running process notices a signal
 	firstListTimeout     = 1500 * time.Millisecond // then the host starts without the agent's list
 
 	// brickReuseDelay is how long a connection to a brick rests before its next
@@ -188,7 +189,8 @@
 // answers the requests in progress. It returns earlier if no client is left, or if
 // ctx ends.
 func (inst *Instance) Stop(ctx context.Context) {
-	timeline := shutdown.NewTimeline(time.Now(), inst.longestDeadline())
+	noticed := time.Now()
+	timeline := shutdown.NewTimeline(inst.earliestSignal(noticed), noticed, inst.longestDeadline())
 	inst.server.Drain(timeline.ReconnectFrom, timeline.LastResponse)
 	inst.awaitResponses(ctx, shutdown.NewSequence(timeline, frontend.WriteTimeout))
 	if inst.unanswered = inst.server.Stop(); inst.unanswered > 0 {
@@ -201,6 +203,16 @@
 	inst.wg.Wait()
 }
 
+// earliestSignal returns the earliest time at which a signal that was noticed at a
+// time may have come. If the process was stalled, that is the start of the stall.
+func (inst *Instance) earliestSignal(noticed time.Time) time.Time {
+	start, ok := inst.host.RecentStall(signalDeliveryTime)
+	if !ok || start.After(noticed) {
+		return noticed
+	}
+	return start
+}
+
 // awaitResponses carries out the phases of a shutdown until it is done or ctx
 // ends.
 func (inst *Instance) awaitResponses(ctx context.Context, sequence *shutdown.Sequence) {
--- a/internal/platform/shutdown/shutdown.go
+++ b/internal/platform/shutdown/shutdown.go
@@ -18,7 +18,8 @@
 const (
 	killGrace              = 700 * time.Millisecond
 	maxDeadline            = 3 * time.Second
-	newConnsPeriod         = 650 * time.Millisecond // after the signal; clients open no new connections later
+	connectPeriod          = 400 * time.Millisecond // after the signal, in which clients open new connections
+	newConnsPeriod         = connectPeriod + 250*time.Millisecond
 	reconnectBeforeKill    = 500 * time.Millisecond
 	closeIdleBeforeKill    = 350 * time.Millisecond
 	lastResponseBeforeKill = 200 * time.Millisecond
@@ -27,21 +28,28 @@
 
 // Timeline holds the times of a graceful shutdown.
 type Timeline struct {
-	AcceptUntil   time.Time // new connections are accepted at least until then
+	AcceptUntil   time.Time // until then the listener stays open even if there is no connection
 	ReconnectFrom time.Time // responses ask their clients to reconnect
 	CloseIdleFrom time.Time // the listener and connections between requests are closed
 	LastResponse  time.Time // every received request has its final response
 	ExitFrom      time.Time // the process exits unless a request is still unanswered
 }
 
-// NewTimeline returns the timeline of a shutdown whose signal came at signaled.
+// NewTimeline returns the timeline of a shutdown. The process noticed the signal at
+// noticed. signaled is the earliest time at which it may have come: noticed, or the
+// start of the stall that ended then. The kill is counted from signaled and the
+// clients' new connections from noticed, so that neither is underestimated.
 // longestDeadline is the longest deadline of a request.
-func NewTimeline(signaled time.Time, longestDeadline time.Duration) Timeline {
+func NewTimeline(signaled, noticed time.Time, longestDeadline time.Duration) Timeline {
 	kill := signaled.Add(min(longestDeadline, maxDeadline) + killGrace)
+	closeIdleFrom := kill.Add(-closeIdleBeforeKill)
+	if connectUntil := noticed.Add(connectPeriod); closeIdleFrom.Before(connectUntil) {
+		closeIdleFrom = connectUntil
+	}
 	return Timeline{
-		AcceptUntil:   signaled.Add(newConnsPeriod),
+		AcceptUntil:   noticed.Add(newConnsPeriod),
 		ReconnectFrom: kill.Add(-reconnectBeforeKill),
-		CloseIdleFrom: kill.Add(-closeIdleBeforeKill),
+		CloseIdleFrom: closeIdleFrom,
 		LastResponse:  kill.Add(-lastResponseBeforeKill),
 		ExitFrom:      kill.Add(-exitBeforeKill),
 	}
--- a/internal/platform/shutdown/shutdown_test.go
+++ b/internal/platform/shutdown/shutdown_test.go
@@ -24,7 +24,7 @@
 }
 
 func newHost(t *testing.T, conns Connections) *host {
-	return &host{t: t, sequence: NewSequence(NewTimeline(signaled, longestDeadline), maxAnswerTime), conns: conns}
+	return &host{t: t, sequence: NewSequence(NewTimeline(signaled, signaled, longestDeadline), maxAnswerTime), conns: conns}
 }
 
 // poll advances the sequence and returns its phase.
@@ -122,7 +122,24 @@
 
 // A class with a long deadline does not extend the timeline beyond the limit.
 func TestTimelineIsBounded(t *testing.T) {
-	if got, want := NewTimeline(signaled, time.Minute), NewTimeline(signaled, maxDeadline); got != want {
+	if got, want := NewTimeline(signaled, signaled, time.Minute), NewTimeline(signaled, signaled, maxDeadline); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
+
+// Guards against a host that counted a planned restart from the end of a stall in
+// which the signal came: the kill is counted from the start of the stall, and new
+// connections are accepted for as long as clients may open them after its end.
+func TestSignalWithinAStall(t *testing.T) {
+	prompt := NewTimeline(signaled, signaled, longestDeadline)
+	for stall := time.Duration(0); stall < 2*killAt; stall += 50 * time.Millisecond {
+		noticed := signaled.Add(stall)
+		got := NewTimeline(signaled, noticed, longestDeadline)
+		if got.LastResponse != prompt.LastResponse || got.ReconnectFrom != prompt.ReconnectFrom || got.ExitFrom != prompt.ExitFrom {
+			t.Fatalf("stall of %s: %+v, want the times of %+v", stall, got, prompt)
+		}
+		if got.CloseIdleFrom.Before(noticed.Add(connectPeriod)) || got.AcceptUntil != noticed.Add(newConnsPeriod) {
+			t.Fatalf("stall of %s: the listener closes too early: %+v", stall, got)
+		}
+	}
+}
--- a/internal/platform/stalled_stop_test.go
+++ b/internal/platform/stalled_stop_test.go
@@ -55,11 +55,16 @@
 	addr string
 }
 
-// startChildHost starts a host that knows one brick.
+// startChildHost starts a host that knows one brick and has no agent.
 func startChildHost(t *testing.T, brick *standin.Brick, replacements ...string) *childHost {
 	t.Helper()
 	known := fmt.Sprintf(`"endpoints":[{"name":%q,"address":%q,"zone":"a","group":0,"status":"active","since_ms":0}]`, brick.Name, brick.Addr())
-	replacements = append(replacements, `"endpoints":[]`, known, "127.0.0.1:1", "127.0.0.1:0")
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // in place of the agent
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { silent.Close() })
+	replacements = append(replacements, `"endpoints":[]`, known, "127.0.0.1:2", silent.Addr().String(), "127.0.0.1:1", "127.0.0.1:0")
 	path := t.TempDir() + "/config.json"
 	if err := os.WriteFile(path, []byte(configText(replacements...)), 0o600); err != nil {
 		t.Fatal(err)
@@ -125,14 +130,8 @@
 	}
 	defer brick.Stop()
 	brick.Take(time.Minute)
-	silent, err := net.Listen("tcp", "127.0.0.1:0") // in place of the agent
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer silent.Close()
 	const patience = 20 * time.Second // beyond the shutdown, which counts 3 s of it
-	h := startChildHost(t, brick, "127.0.0.1:2", silent.Addr().String(),
-		`"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, patience.Microseconds()))
+	h := startChildHost(t, brick, `"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, patience.Microseconds()))
 
 	const clients = 8 // more than the brick is sent at once
 	answers := make(chan int, clients)
@@ -168,3 +167,46 @@
 		t.Errorf("the host ended with %v", err)
 	}
 }
+
+// Guards against a host that counted a planned restart from the end of a stall in
+// which the signal came, and held requests beyond the time at which it may be
+// killed.
+func TestStopCountsFromTheStartOfAStall(t *testing.T) {
+	log := standin.NewLog()
+	brick := &standin.Brick{Name: "hangs", Zone: "a"}
+	if err := brick.Start(log); err != nil {
+		t.Fatal(err)
+	}
+	defer brick.Stop()
+	brick.Take(time.Minute)
+	const patience = 20 * time.Second // beyond the shutdown, which counts 3 s of it
+	h := startChildHost(t, brick, `"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, patience.Microseconds()))
+	answer := make(chan int, 1)
+	go func() {
+		c := &standin.Client{Name: "held-", Addr: func() string { return h.addr }, Log: log}
+		defer c.Close()
+		answer <- c.Do(&standin.Request{Class: "fetch-text", Volume: 7, Piece: 1, Plan: "basic", Units: 1, Hosts: 1, Wait: patience})
+	}()
+	for !log.HasArrived("held") {
+		time.Sleep(time.Millisecond)
+	}
+	const untilKill = 3*time.Second + 700*time.Millisecond
+	h.signal(syscall.SIGSTOP)
+	beyondKill := time.After(untilKill)
+	h.signal(syscall.SIGTERM)
+	<-beyondKill
+	h.signal(syscall.SIGCONT)
+	resumed := time.Now()
+	if status := <-answer; status < 400 { // 0: no response
+		t.Errorf("status %d, want a refusal or a failure", status)
+	}
+	if took := time.Since(resumed); took > untilKill/2 { // the host had its whole time before
+		t.Errorf("the response came %s after the stall, want it at once", took)
+	}
+	if got := h.line(); got != "stopping" {
+		t.Errorf("%q, want stopping", got)
+	}
+	if err := h.cmd.Wait(); err != nil {
+		t.Errorf("the host ended with %v", err)
+	}
+}
