Platform: a first request that arrived in a stall is read after its time too

What callers saw: a client that connected, and whose first request arrived while the host stood still until 2 s after the connect had passed, had its connection closed without a response, however early the request had come.

Cause: the read deadline of a new connection is a time of the clock. After the stall it had passed at the same moment at which the request was found, and conn.awaitRequest (internal/platform/frontend/conn.go) took the connection for a silent one.

Change: where the deadline passed and the request is there, it is read, within 50 ms. Silent connections are closed as before (TestSilentConnectionIsClosedInTime).

--- a/internal/platform/frontend/conn.go
+++ b/internal/platform/frontend/conn.go
@@ -85,6 +85,10 @@
 	return c.raw != nil && sockstate.Readable(c.raw) && !sockstate.AtEOF(c.raw)
 }
 
+// lateReadTimeout bounds the reading of a request that arrived in time and was found
+// after its read deadline.
+const lateReadTimeout = 50 * time.Millisecond
+
 // awaitRequest waits for the first byte of a request without holding a buffer. It
 // returns false if the connection ends instead.
 func (c *conn) awaitRequest(first bool) bool {
@@ -98,7 +102,8 @@
 			return false
 		}
 	}
-	if err := sockstate.WaitReadable(c.raw); err != nil {
+	waitErr := sockstate.WaitReadable(c.raw)
+	if waitErr != nil && !c.hasUnreadData() {
 		return false
 	}
 	if first {
@@ -108,6 +113,9 @@
 	} else if !c.startReading() {
 		return false
 	}
+	if waitErr != nil { // its time passed while the process was stalled
+		c.nc.SetReadDeadline(time.Now().Add(lateReadTimeout))
+	}
 	c.reader = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c.nc)
 	return true
--- a/internal/platform/frontend/race_test.go
+++ b/internal/platform/frontend/race_test.go
@@ -39,12 +39,15 @@
 }
 
 // observedListener reports when the waits on its connections return, and delays
-// each Accept until acceptGate is closed.
+// each Accept until acceptGate is closed. With expireFirstRequest, the time for the
+// first request on each connection has passed at once, as after a stall.
 type observedListener struct {
 	*net.TCPListener
 	readable    chan struct{}
 	acceptGate  chan struct{} // nil: no delay
 	deadlineSet chan struct{}
+
+	expireFirstRequest bool
 }
 
 func (l *observedListener) Accept() (net.Conn, error) {
@@ -52,7 +55,7 @@
 		<-l.acceptGate
 	}
 	nc, err := l.AcceptTCP()
-	return &observedConn{nc, l.readable}, err
+	return &observedConn{TCPConn: nc, readable: l.readable, expireNext: l.expireFirstRequest}, err
 }
 
 func (l *observedListener) SetDeadline(t time.Time) error {
@@ -66,7 +69,16 @@
 
 type observedConn struct {
 	*net.TCPConn
-	readable chan struct{}
+	readable   chan struct{}
+	expireNext bool // the next read deadline has passed already
+}
+
+func (c *observedConn) SetReadDeadline(t time.Time) error {
+	if c.expireNext {
+		c.expireNext = false
+		t = time.Unix(1, 0)
+	}
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 func (c *observedConn) SyscallConn() (syscall.RawConn, error) {
@@ -115,7 +127,7 @@
 			return nc, err
 		}})
 	h.Nodes(arrowwalk.ListSnapshot, 1, []host.Member{{Node: arrowwalk.Node{ID: "b"}, Address: ts.brick.Addr().String()}})
-	ts.ln = &observedListener{listen(t).(*net.TCPListener), ts.readable, acceptGate, make(chan struct{}, 1)}
+	ts.ln = &observedListener{TCPListener: listen(t).(*net.TCPListener), readable: ts.readable, acceptGate: acceptGate, deadlineSet: make(chan struct{}, 1)}
 	ts.server = Start(ts.ln, Options{Host: h, Sender: sender, Settings: settings, Log: slog.New(slog.DiscardHandler), MaxConns: 50, IdleEvictionThreshold: 40, MaxBodyBytes: 1 << 20})
 	t.Cleanup(func() {
 		ts.server.Stop()
@@ -455,3 +467,28 @@
 	client.send("the rest")
 	client.expectClose()
 }
+
+// Guards against a host that was stalled while the time for a connection's first
+// request passed, and closed the connection although that request had arrived.
+func TestFirstRequestArrivesInAStall(t *testing.T) {
+	acceptGate := make(chan struct{})
+	ts := newGatedTestServer(t, false, acceptGate)
+	ts.ln.expireFirstRequest = true
+	client := ts.dial()
+	client.send(request("first", ""))
+	close(acceptGate) // the request is in the socket
+	go ts.answerNext()
+	if status := client.status(); status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
+
+// A connection on which nothing arrives in time is closed.
+func TestSilentConnectionIsClosedInTime(t *testing.T) {
+	acceptGate := make(chan struct{})
+	ts := newGatedTestServer(t, false, acceptGate)
+	ts.ln.expireFirstRequest = true
+	client := ts.dial()
+	close(acceptGate)
+	client.expectClose()
+}
