--- a/internal/prove/platform.go
+++ b/internal/prove/platform.go
@@ -590,7 +590,8 @@
 	return arrived
 }
 
-// terminate stops the host as a planned restart does.
+// terminate stops the host as a planned restart does. The host stands still once
+// through the time of its last responses and the one at which it would end.
 func (d *platformDay) terminate() error {
 	answered := d.patient()
 	defer answered()
@@ -602,7 +603,41 @@
 	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	return d.awaitEnd()
+	heldUp := make(chan error, 1)
+	go func() { heldUp <- d.holdUp(time.Now().Add(killedAfter - heldUpBeforeKill)) }()
+	ended := d.awaitEnd()
+	return errors.Join(ended, <-heldUp)
+}
+
+// A host may be held up for heldUpFor at any time. In a planned restart that begins
+// heldUpBeforeKill before SIGKILL may come.
+const (
+	heldUpFor        = 150 * time.Millisecond
+	heldUpBeforeKill = 225 * time.Millisecond
+)
+
+// holdUp stops the host's process for heldUpFor at a time, unless it has ended.
+func (d *platformDay) holdUp(at time.Time) error {
+	wait(context.Background(), time.Until(at))
+	still := rules.Still{From: time.Now().UnixMicro()}
+	if err := d.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return ignoreEnded(err)
+	}
+	wait(context.Background(), heldUpFor)
+	err := d.cmd.Process.Signal(syscall.SIGCONT)
+	still.To = time.Now().UnixMicro()
+	d.mu.Lock()
+	d.stills = append(d.stills, still)
+	d.mu.Unlock()
+	return ignoreEnded(err)
+}
+
+// ignoreEnded returns nil for the error of a signal to a process that has ended.
+func ignoreEnded(err error) error {
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
 }
 
 // killedAfter is when a planned restart is killed at the earliest, after SIGTERM.
