Store: a write can consume another blob and keep what it removes, in one commit

The brick can tell, in the commit that ends the naming.

Change: Effects of a write or delete (internal/store/effects.go): a blob that must exist and is removed, and the metadata of removed whole blobs kept in a space of its own. They are records of one group. The protocol has Aw-Consume and Aw-Trash, and 424 where the blob to consume is missing. buildGroup is a small type now, in place of one long loop.

Nothing uses it yet.

--- a/internal/brick/message.go
+++ b/internal/brick/message.go
@@ -35,6 +35,10 @@
 	IfVersion uint64 // if not 0, the blob must have this version
 	IfAbsent  bool   // the blob must not exist
 
+	ConsumeSpace string // of a PUT: space and name of a blob that must exist and is removed in the same commit; empty for none
+	ConsumeName  string
+	Trash        string // of a PUT or DELETE: suffix under which removed whole blobs are kept in SpaceTrash; empty keeps none
+
 	RequestID string // ID in every log
 	Host      int
 	Volume    uint64
@@ -190,6 +194,13 @@
 	if r.IfAbsent {
 		b = append(b, "If-None-Match: *\r\n"...)
 	}
+	if r.ConsumeSpace != "" {
+		b = append(append(append(b, HeaderConsume+": "...), r.ConsumeSpace...), '/')
+		b = append(AppendName(b, r.ConsumeName), "\r\n"...)
+	}
+	if r.Trash != "" {
+		b = http1.AppendField(b, HeaderTrash, r.Trash)
+	}
 	if len(r.Meta) > 0 {
 		b = append(b, HeaderMeta+": "...)
 		b = append(base64.RawURLEncoding.AppendEncode(b, r.Meta), "\r\n"...)
--- a/internal/brick/protocol.go
+++ b/internal/brick/protocol.go
@@ -31,6 +31,8 @@
 	HeaderOffset   = "Aw-Offset"   // of a PATCH: where its body is written
 	HeaderNumber   = "Aw-Number"   // of a PATCH: sequence number, increasing per extent within an epoch
 	HeaderTruncate = "Aw-Truncate" // "1": a PATCH empties the extent
+	HeaderConsume  = "Aw-Consume"  // of a PUT: SPACE/NAME, percent-encoded, of a blob that must exist and is removed in the same commit
+	HeaderTrash    = "Aw-Trash"    // of a PUT or DELETE: suffix under which the metadata of removed whole blobs is kept in SpaceTrash
 	HeaderSums     = "Aw-Sums"     // base64url of the CRC-32C of each 64 KiB of the body, 4 bytes each
 	HeaderReason   = "Aw-Reason"   // why a request failed: Corrupt
 	HeaderLoad     = "endpoint-load-metrics"
@@ -50,9 +52,15 @@
 	SpaceVolumes = "v" // a block volume's record
 	SpaceExtents = "x" // VOLUME/INDEX: a part of a block volume, changed by PATCH
 	SpaceFences  = "f" // VOLUME: the epoch below which the volume's requests are rejected
+	SpaceIntents = "i" // BUCKET/KEY NUL ID: a write of an object in pieces that has not taken effect
+	SpaceTrash   = "g" // SPACE/NAME NUL SUFFIX: metadata of a blob that was replaced, deleted or consumed
 	SpaceProbe   = "q" // always empty, for requests that only identify a brick
 )
 
+// StatusNotConsumable is the status of a PUT whose HeaderConsume names a blob that does
+// not exist. The write has no effect.
+const StatusNotConsumable = 424
+
 const upperHex = "0123456789ABCDEF"
 
 // AppendName appends a blob's name to a path, percent-encoded so that any name
@@ -69,6 +77,18 @@
 	return b
 }
 
+// ParseConsume parses the value of HeaderConsume.
+func ParseConsume(value string) (space, name string, err error) {
+	space, escaped, ok := strings.Cut(value, "/")
+	if name, err = Unescape(escaped); err != nil {
+		return "", "", err
+	}
+	if !ok || space == "" || name == "" {
+		return "", "", fmt.Errorf("%q: must be SPACE/NAME", value)
+	}
+	return space, name, nil
+}
+
 // Unescape decodes a percent-encoded string. It does not decode "+" to a space.
 func Unescape(s string) (string, error) {
 	if !strings.Contains(s, "%") {
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -494,9 +494,32 @@
 	return cond, nil
 }
 
+// maxTrashSuffixBytes bounds HeaderTrash.
+const maxTrashSuffixBytes = 64
+
+// parseEffects parses the request's HeaderConsume and HeaderTrash.
+func (c *conn) parseEffects() (store.Effects, error) {
+	effects := store.Effects{Trash: c.req.Fields.Get(brick.HeaderTrash)}
+	if len(effects.Trash) > maxTrashSuffixBytes {
+		return effects, fmt.Errorf("header %s: over %d bytes", brick.HeaderTrash, maxTrashSuffixBytes)
+	}
+	value, ok := c.req.Fields.Lookup(brick.HeaderConsume)
+	if !ok {
+		return effects, nil
+	}
+	space, name, err := brick.ParseConsume(value)
+	if err != nil {
+		return effects, fmt.Errorf("header %s: %w", brick.HeaderConsume, err)
+	}
+	effects.Consume = &store.Ref{Space: space, Name: name}
+	return effects, nil
+}
+
 // statusOf returns the HTTP status for an error of the store.
 func statusOf(err error) int {
 	switch {
+	case errors.Is(err, store.ErrNotConsumable):
+		return brick.StatusNotConsumable
 	case errors.Is(err, store.ErrNotFound):
 		return 404
 	case errors.Is(err, store.ErrVersionMismatch):
@@ -524,6 +547,10 @@
 	if err != nil {
 		return &reply{status: 400, text: err.Error()}
 	}
+	effects, err := c.parseEffects()
+	if err != nil {
+		return &reply{status: 400, text: err.Error()}
+	}
 	meta, err := decodeMeta(c.req.Fields.Get(brick.HeaderMeta))
 	if err != nil {
 		return &reply{status: 400, text: "header Aw-Meta: " + err.Error()}
@@ -534,7 +561,7 @@
 	if err != nil {
 		return &reply{status: 400, text: "header " + brick.HeaderSums + ": " + err.Error()}
 	}
-	stored, replaced, err := c.server.blobs.Put(context.Background(), ex.Space, info, &c.body, sums, cond)
+	stored, replaced, err := c.server.blobs.PutWith(context.Background(), ex.Space, info, &c.body, sums, cond, effects)
 	if err != nil {
 		return storeFailure(err)
 	}
@@ -551,7 +578,11 @@
 	if err != nil {
 		return &reply{status: 400, text: err.Error()}
 	}
-	deleted, err := c.server.blobs.Delete(ex.Space, ex.Name, cond)
+	effects, err := c.parseEffects()
+	if err != nil {
+		return &reply{status: 400, text: err.Error()}
+	}
+	deleted, err := c.server.blobs.DeleteWith(ex.Space, ex.Name, cond, effects)
 	if err != nil {
 		return &reply{status: statusOf(err), text: err.Error()}
 	}
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -17,6 +17,7 @@
 type operation struct {
 	space       string
 	cond        Condition
+	effects     Effects
 	rec         record.Record
 	body        []byte
 	keepVersion bool      // rec.Version is set already and is kept
@@ -31,8 +32,11 @@
 	done         chan struct{}
 }
 
-// logSize returns the size of the operation's record and inline body in the log.
-func (op *operation) logSize() int64 { return int64(op.rec.HeaderSize()) + int64(len(op.body)) }
+// logSize returns the size of the operation's record and inline body in the log, with
+// an upper bound of what its effects take.
+func (op *operation) logSize() int64 {
+	return int64(op.rec.HeaderSize()) + int64(len(op.body)) + op.effects.logSize(op.space, op.rec.Name)
+}
 
 // queue buffers operations for the committer. All operations that arrive while a
 // group is synced form the next group.
@@ -234,43 +238,92 @@
 // blobKey identifies a blob.
 type blobKey struct{ space, name string }
 
-// buildGroup appends the records of the operations that may proceed to the tail's
-// buffer and returns these operations. Conditions are evaluated in queue order,
-// each against the effects of the operations before it.
+// groupBuilder collects the operations of a group. Each of them sees the effects of
+// those before it.
+type groupBuilder struct {
+	store    *Store
+	changed  map[blobKey]*operation // last operation on each blob
+	bodyDirs map[string]bool
+	accepted []*operation
+}
+
+// buildGroup appends the records of the operations that may proceed, and of their
+// effects, to the tail's buffer and returns these operations. Conditions are evaluated
+// in queue order, each against the effects of the operations before it.
 func (s *Store) buildGroup(ops []*operation) (accepted []*operation) {
-	tail := &s.tail
-	tail.buf = append(tail.buf[:0], make([]byte, record.GroupHeaderLen)...)
-	changed := map[blobKey]*operation{}
-	bodyDirs := map[string]bool{}
+	s.tail.buf = append(s.tail.buf[:0], make([]byte, record.GroupHeaderLen)...)
+	g := &groupBuilder{store: s, changed: map[blobKey]*operation{}, bodyDirs: map[string]bool{}}
 	for _, op := range ops {
-		key := blobKey{op.space, op.rec.Name}
-		current, exists := s.currentEntry(changed[key], key)
-		if op.err = op.check(current, exists); op.err != nil {
-			continue
-		}
-		if op.keepVersion {
-			tail.lastVersion = max(tail.lastVersion, op.rec.Version)
-		} else if op.movedFrom == nil {
-			tail.lastVersion = max(tail.lastVersion+1, uint64(s.opt.NowMicros()))
-			op.rec.Version = tail.lastVersion
-		}
-		if op.movedFrom == nil && op.rec.BodyFile != 0 {
-			bodyDirs[bodyDir(op.rec.BodyFile)] = true
-		}
-		op.previous, op.replaces, op.replacedFile = current, exists, s.bodyFileOf(current, changed[key])
-		op.loc = location{tail.segment.number, tail.end + int64(len(tail.buf))}
-		tail.buf = op.rec.Append(tail.buf)
-		tail.buf = append(tail.buf, op.body...)
-		changed[key] = op
-		accepted = append(accepted, op)
-	}
-	for _, dir := range sortedKeys(bodyDirs) {
+		op.err = g.add(op)
+	}
+	for _, dir := range sortedKeys(g.bodyDirs) {
 		if err := s.fs.SyncDir(dir); err != nil {
-			failAll(accepted, err)
+			failAll(g.accepted, err)
 			return nil
 		}
 	}
-	return accepted
+	return g.accepted
+}
+
+// current returns the entry of a blob after the operations of the group.
+func (g *groupBuilder) current(key blobKey) (entry, bool) {
+	return g.store.currentEntry(g.changed[key], key)
+}
+
+// add appends an operation and its effects, or returns the error of a condition that
+// does not hold.
+func (g *groupBuilder) add(op *operation) error {
+	current, exists := g.current(blobKey{op.space, op.rec.Name})
+	if err := op.check(current, exists); err != nil {
+		return err
+	}
+	consume := op.effects.Consume
+	if consume != nil {
+		consumed, ok := g.current(blobKey{consume.Space, consume.Name})
+		if err := consume.checkConsume(consumed, ok); err != nil {
+			return err
+		}
+		g.remove(consume.consumption(), &op.effects, consumed)
+	}
+	if exists {
+		g.keep(op.effects.trashing(op.space, current))
+	}
+	g.append(op)
+	return nil
+}
+
+// remove appends the removal of a consumed entry.
+func (g *groupBuilder) remove(removal *operation, effects *Effects, consumed entry) {
+	g.keep(effects.trashing(removal.space, consumed))
+	g.append(removal)
+}
+
+// keep appends the operation that keeps the metadata of a removed blob; nil: none.
+func (g *groupBuilder) keep(trashing *operation) {
+	if trashing != nil {
+		g.append(trashing)
+	}
+}
+
+// append appends the record of an operation whose conditions hold.
+func (g *groupBuilder) append(op *operation) {
+	tail, key := &g.store.tail, blobKey{op.space, op.rec.Name}
+	current, exists := g.current(key)
+	if op.keepVersion {
+		tail.lastVersion = max(tail.lastVersion, op.rec.Version)
+	} else if op.movedFrom == nil {
+		tail.lastVersion = max(tail.lastVersion+1, uint64(g.store.opt.NowMicros()))
+		op.rec.Version = tail.lastVersion
+	}
+	if op.movedFrom == nil && op.rec.BodyFile != 0 {
+		g.bodyDirs[bodyDir(op.rec.BodyFile)] = true
+	}
+	op.previous, op.replaces, op.replacedFile = current, exists, g.store.bodyFileOf(current, g.changed[key])
+	op.loc = location{tail.segment.number, tail.end + int64(len(tail.buf))}
+	tail.buf = op.rec.Append(tail.buf)
+	tail.buf = append(tail.buf, op.body...)
+	g.changed[key] = op
+	g.accepted = append(g.accepted, op)
 }
 
 // currentEntry returns the entry of key after prior, the last operation of the
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -258,13 +258,18 @@
 // checksums computed by the writer; a body that does not match them is rejected
 // with ErrChecksumMismatch.
 func (s *Store) Put(ctx context.Context, space string, info Info, body io.Reader, sums []uint32, cond Condition) (Info, *Info, error) {
+	return s.PutWith(ctx, space, info, body, sums, cond, Effects{})
+}
+
+// PutWith is Put with effects on other blobs.
+func (s *Store) PutWith(ctx context.Context, space string, info Info, body io.Reader, sums []uint32, cond Condition, effects Effects) (Info, *Info, error) {
 	if len(info.Name)+len(info.Meta) > record.MaxNameAndMetaBytes || len(space) > 255 || info.Size < 0 || info.Size > record.MaxChecksums*record.BlockSize {
 		return Info{}, nil, ErrTooLarge
 	}
 	if err := s.checkEarly(space, info, cond); err != nil {
 		return Info{}, nil, err
 	}
-	op := &operation{space: space, cond: cond, rec: record.Record{Kind: record.KindPut, Space: space, Name: info.Name, Meta: info.Meta, Size: info.Size}}
+	op := &operation{space: space, cond: cond, effects: effects, rec: record.Record{Kind: record.KindPut, Space: space, Name: info.Name, Meta: info.Meta, Size: info.Size}}
 	if info.Whole {
 		op.rec.Flags |= record.FlagWhole
 	}
@@ -387,6 +392,11 @@
 
 // Delete removes a blob and returns its info once the removal is durable.
 func (s *Store) Delete(space, name string, cond Condition) (Info, error) {
+	return s.DeleteWith(space, name, cond, Effects{})
+}
+
+// DeleteWith is Delete with effects on other blobs.
+func (s *Store) DeleteWith(space, name string, cond Condition, effects Effects) (Info, error) {
 	s.mu.RLock()
 	current, exists := s.index.get(space, name)
 	s.mu.RUnlock()
@@ -396,7 +406,7 @@
 	if !exists {
 		return Info{}, ErrNotFound
 	}
-	op := &operation{space: space, cond: cond, rec: record.Record{Kind: record.KindDelete, Space: space, Name: name}}
+	op := &operation{space: space, cond: cond, effects: effects, rec: record.Record{Kind: record.KindDelete, Space: space, Name: name}}
 	if err := s.submit(op); err != nil {
 		return Info{}, err
 	}
