Object API: pieces are deleted only when nothing names them or can name them

Cause: pieces were deleted by what the gateway knew of its own write. After a lost answer it cannot know whether the record names them, or will; and an upload could be completed again after its pieces had been deleted for another client's overwrite.

Change: put, copy, part, complete, abort, delete and the janitor follow internal/reclaim. A write in pieces leaves an intent, which the write of its record consumes in one commit, as a complete does the upload. Why it works: a record that names pieces can only be written while their owner exists, and the janitor removes the owner before it reads the record.

--- a/internal/brick/protocol.go
+++ b/internal/brick/protocol.go
@@ -89,6 +89,21 @@
 	return space, name, nil
 }
 
+// TrashName returns the name in SpaceTrash of a blob that was removed by a request with
+// the given HeaderTrash.
+func TrashName(space, name, suffix string) string { return space + "/" + name + "\x00" + suffix }
+
+// ParseTrashName returns the space and the name of the removed blob. It returns false
+// for a name that TrashName does not make.
+func ParseTrashName(trashName string) (space, name string, ok bool) {
+	space, rest, found := strings.Cut(trashName, "/")
+	end := strings.LastIndexByte(rest, 0)
+	if !found || end < 0 {
+		return "", "", false
+	}
+	return space, rest[:end], true
+}
+
 // Unescape decodes a percent-encoded string. It does not decode "+" to a space.
 func Unescape(s string) (string, error) {
 	if !strings.Contains(s, "%") {
--- a/internal/endtoend/s3_test.go
+++ b/internal/endtoend/s3_test.go
@@ -24,6 +24,7 @@
 	"go.uber.org/goleak"
 
 	"arrowwalk/internal/config"
+	s3front "arrowwalk/internal/front/s3"
 	"arrowwalk/internal/gateway"
 )
 
@@ -38,6 +39,12 @@
 
 // start serves on loopback with what change makes of the default settings.
 func start(t *testing.T, data string, change func(*config.Config)) *gateway.Gateway {
+	t.Helper()
+	return startReclaiming(t, data, s3front.ReclaimTimes{}, change)
+}
+
+// startReclaiming is start with other times of the deletion of unused data.
+func startReclaiming(t *testing.T, data string, reclaim s3front.ReclaimTimes, change func(*config.Config)) *gateway.Gateway {
 	t.Helper()
 	cfg := config.Default()
 	cfg.Listen = "127.0.0.1:0"
@@ -45,7 +52,7 @@
 		change(cfg)
 	}
 	log := slog.New(slog.NewTextHandler(logWriter{t}, &slog.HandlerOptions{Level: slog.LevelWarn}))
-	g, err := gateway.Start(gateway.Options{Config: cfg, DataDir: data, Log: log, NoSync: true})
+	g, err := gateway.Start(gateway.Options{Config: cfg, DataDir: data, Log: log, NoSync: true, Reclaim: reclaim})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/s3/bucket.go
+++ b/internal/front/s3/bucket.go
@@ -194,7 +194,7 @@
 		}
 	}
 	x.server.buckets.remove(x.bucket)
-	if _, _, err := x.deleteBlob(brick.SpaceBuckets, x.bucket, x.shardOf(x.bucket), 0); err != nil {
+	if _, _, err := x.deleteBlob(brick.Request{Space: brick.SpaceBuckets, Name: x.bucket}, x.shardOf(x.bucket)); err != nil {
 		return err
 	}
 	x.buildHead(204, nil, -1)
--- a/internal/front/s3/calls.go
+++ b/internal/front/s3/calls.go
@@ -122,7 +122,7 @@
 }
 
 // writeBlob writes a blob. It returns errPrecondition if a condition of the
-// write did not hold.
+// write did not hold, and errOwnerMissing if there was no blob to consume.
 func (x *exchange) writeBlob(request brick.Request, shard int) (brick.Response, error) {
 	request.Method = "PUT"
 	var size int64
@@ -138,14 +138,16 @@
 		return call.Response, nil
 	case 412:
 		return call.Response, errPrecondition
+	case brick.StatusNotConsumable:
+		return call.Response, errOwnerMissing
 	}
 	return call.Response, x.unexpectedStatus(call)
 }
 
 // deleteBlob deletes a blob. ok is false if it did not exist.
-func (x *exchange) deleteBlob(space, name string, shard int, version uint64) (response brick.Response, ok bool, err error) {
-	call := &scheduledCall{class: config.ClassWrite, shard: shard, units: x.server.cfg.UnitsFor(0),
-		Call: attempts.Call{Request: brick.Request{Method: "DELETE", Space: space, Name: name, IfVersion: version}}}
+func (x *exchange) deleteBlob(request brick.Request, shard int) (response brick.Response, ok bool, err error) {
+	request.Method = "DELETE"
+	call := &scheduledCall{class: config.ClassWrite, shard: shard, units: x.server.cfg.UnitsFor(0), Call: attempts.Call{Request: request}}
 	if err := x.runCall(call); err != nil {
 		return response, false, err
 	}
--- a/internal/front/s3/errors.go
+++ b/internal/front/s3/errors.go
@@ -49,6 +49,10 @@
 	errInsufficientStorage = newAPIError(507, "InsufficientStorage", "The brick that stores this key has no free space.")
 )
 
+// errOwnerMissing reports that the blob that a write consumes does not exist: the write
+// had no effect, but an earlier attempt of it may have had.
+var errOwnerMissing = newAPIError(500, "InternalError", "The request may or may not have taken effect.")
+
 // slowDown returns a 503 response that asks the client to retry after the
 // given time.
 func slowDown(retryAfter time.Duration) error {
--- a/internal/front/s3/gc.go
+++ b/internal/front/s3/gc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -9,45 +10,73 @@
 
 	"arrowwalk"
 	"arrowwalk/internal/brick"
-	"arrowwalk/internal/placement"
+	"arrowwalk/internal/reclaim"
 )
 
-// garbageCollector deletes data that no record refers to any more, in the
-// background. Its deletes are scheduled like client requests, on the volume of
-// the data. Data that is not deleted when the host stops remains; it is never
-// read and only occupies space.
+// ReclaimTimes are the times of the garbage collector. A zero value stands for a
+// default.
+type ReclaimTimes struct {
+	SweepInterval time.Duration // between two sweeps of the trash and of the intents
+	TrashGrace    time.Duration // for which an entry of the trash is kept, since writes of its pieces may still run at a brick
+	IntentLease   time.Duration // after which an intent that is not renewed counts as abandoned
+}
+
+// withDefaults returns t with its zero values replaced.
+func (t ReclaimTimes) withDefaults() ReclaimTimes {
+	setDefault := func(d *time.Duration, defaultValue time.Duration) {
+		if *d == 0 {
+			*d = defaultValue
+		}
+	}
+	setDefault(&t.SweepInterval, time.Minute)
+	setDefault(&t.TrashGrace, 10*time.Minute)
+	setDefault(&t.IntentLease, time.Hour)
+	return t
+}
+
+// garbageCollector deletes pieces that no record names and none will, by the rule of
+// package reclaim. Its calls are scheduled like client requests, on the volume of the
+// data, one at a time. What it cannot delete at once, or loses when the host ends, a
+// sweep of any host finds again: every set of pieces has an owner at the bricks, or
+// an entry in their trash.
 type garbageCollector struct {
 	server       *Server
-	queue        chan deletion
-	abandoned    atomic.Uint64 // deletions given up
+	times        ReclaimTimes
+	queue        chan reclamation
+	abandoned    atomic.Uint64 // reclamations left to a sweep
 	deletedBlobs atomic.Uint64 // blobs deleted
+	swept        atomic.Uint64 // reclamations that a sweep began
 	quit         chan struct{}
 	quitOnce     sync.Once
 	stopped      chan struct{}
 }
 
-// deletion describes data to delete.
-type deletion struct {
-	volume      arrowwalk.Volume
-	piecePrefix string          // pieces whose names begin with it and a slash,
-	keepBases   map[string]bool // except those with one of these bases
-	runs        []pieceRun      // pieces of these runs
-	uploadID    string          // all part records of this upload
-	partName    string          // one part record
-	shard       int             // shard of the part records
+// reclamation is a set of pieces to reclaim.
+type reclamation struct {
+	kind       reclaim.Kind
+	volume     arrowwalk.Volume
+	object     string // name of the object's record
+	id         string // of the set
+	fromUpload bool   // a multipart upload made the set
+	trashEntry string // name of its entry in the trash; "" if there is none
+	addEntry   bool   // the entry has to be written first
+	final      bool   // the entry is removed at the end
 }
 
-// maxQueuedDeletions bounds the queue; further deletions are abandoned.
-const maxQueuedDeletions = 4096
+// shard returns the shard of the object.
+func (r *reclamation) shard(s *Server) int { return s.shards.Shard(r.object) }
+
+// maxQueuedReclamations bounds the queue; further ones are left to a sweep.
+const maxQueuedReclamations = 4096
 
 // startGarbageCollector starts the collector of s.
 func startGarbageCollector(s *Server) *garbageCollector {
-	gc := &garbageCollector{server: s, queue: make(chan deletion, maxQueuedDeletions), quit: make(chan struct{}), stopped: make(chan struct{})}
+	gc := &garbageCollector{server: s, times: s.opts.Reclaim, queue: make(chan reclamation, maxQueuedReclamations), quit: make(chan struct{}), stopped: make(chan struct{})}
 	go gc.run()
 	return gc
 }
 
-// stop waits until the queued deletions are done or ctx ends.
+// stop waits until the queued reclamations are done or ctx ends.
 func (gc *garbageCollector) stop(ctx context.Context) {
 	gc.quitOnce.Do(func() { close(gc.quit) })
 	select {
@@ -56,60 +85,66 @@
 	}
 }
 
-// enqueue queues a deletion, or counts it as abandoned if the queue is full.
-func (gc *garbageCollector) enqueue(d deletion) {
+// enqueue queues a reclamation, or leaves it to a sweep if the queue is full.
+func (gc *garbageCollector) enqueue(r reclamation) {
 	select {
-	case gc.queue <- d:
+	case gc.queue <- r:
 	default:
 		gc.abandoned.Add(1)
 	}
 }
 
-// deletePieces deletes all pieces whose names begin with piecePrefix and a
-// slash.
-func (gc *garbageCollector) deletePieces(x *exchange, piecePrefix string) {
-	gc.enqueue(deletion{volume: x.volume, piecePrefix: piecePrefix})
+// reclaimRecord reclaims the pieces of an object whose record was replaced or deleted
+// by a write with the given suffix of the trash. meta is the metadata of that record.
+func (gc *garbageCollector) reclaimRecord(volume arrowwalk.Volume, object string, meta []byte, suffix string) {
+	if r, ok := recordReclamation(volume, object, meta, brick.TrashName(brick.SpaceObjects, object, suffix)); ok {
+		gc.enqueue(r)
+	}
 }
 
-// deleteRuns deletes the pieces of a record that was not written.
-func (gc *garbageCollector) deleteRuns(x *exchange, runs []pieceRun) {
-	if len(runs) > 0 {
-		gc.enqueue(deletion{volume: x.volume, runs: runs})
+// recordReclamation returns the reclamation for a record. It returns false if the
+// object was not stored in pieces.
+func recordReclamation(volume arrowwalk.Volume, object string, meta []byte, entry string) (reclamation, bool) {
+	if len(meta) == 0 {
+		return reclamation{}, false
+	}
+	old, err := decodeRecord(meta)
+	if err != nil || old.PiecePrefix == "" {
+		return reclamation{}, false
 	}
+	return reclamation{kind: reclaim.Record, volume: volume, object: object, id: old.PiecePrefix, fromUpload: old.UploadID != "", trashEntry: entry}, true
 }
 
-// deletePart deletes a part whose upload no longer exists.
-func (gc *garbageCollector) deletePart(x *exchange, uploadID string, part partRecord) {
-	d := deletion{volume: x.volume, partName: partName(uploadID, &part), shard: x.objectShard()}
-	if part.Size > 0 {
-		d.runs = []pieceRun{{part.Base, part.Size, x.server.cfg.PieceBytes}}
-	}
-	gc.enqueue(d)
+// reclaimUpload reclaims the pieces and part records of an upload that has ended.
+// addEntry tells that the trash has no entry for it yet.
+func (gc *garbageCollector) reclaimUpload(volume arrowwalk.Volume, object, id string, addEntry bool) {
+	gc.enqueue(reclamation{kind: reclaim.Upload, volume: volume, object: object, id: id, fromUpload: true,
+		trashEntry: brick.TrashName(brick.SpaceUploads, intentName(object, id), id), addEntry: addEntry})
 }
 
-// deleteUnusedParts deletes the part records of an upload that has ended, and
-// the pieces that the object does not use.
-func (gc *garbageCollector) deleteUnusedParts(x *exchange, uploadID string, used []partRecord) {
-	d := deletion{volume: x.volume, piecePrefix: uploadID, uploadID: uploadID, shard: x.objectShard(), keepBases: map[string]bool{}}
-	for _, p := range used {
-		d.keepBases[p.Base] = true
-	}
-	gc.enqueue(d)
+// reclaimIntent reclaims the pieces of a write that was given up.
+func (gc *garbageCollector) reclaimIntent(volume arrowwalk.Volume, object, id string) {
+	gc.enqueue(reclamation{kind: reclaim.Intent, volume: volume, object: object, id: id,
+		trashEntry: brick.TrashName(brick.SpaceIntents, intentName(object, id), id), addEntry: true})
 }
 
-// run processes the queue. After quit is closed, it processes what is queued
-// and returns.
+// run processes the queue and sweeps at intervals. After quit is closed, it processes
+// what is queued and returns.
 func (gc *garbageCollector) run() {
 	defer close(gc.stopped)
+	ticker := time.NewTicker(gc.times.SweepInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case d := <-gc.queue:
-			gc.deleteWithRetries(d)
+		case r := <-gc.queue:
+			gc.reclaimWithRetries(r)
+		case <-ticker.C:
+			gc.sweep()
 		case <-gc.quit:
 			for {
 				select {
-				case d := <-gc.queue:
-					gc.deleteWithRetries(d)
+				case r := <-gc.queue:
+					gc.reclaimWithRetries(r)
 				default:
 					return
 				}
@@ -118,54 +153,110 @@
 	}
 }
 
-// A deletion that fails is retried after deletionRetryDelay, up to
-// maxDeletionTries times in total.
+// A reclamation that fails is retried after reclaimRetryDelay, up to maxReclaimTries
+// times in total.
 const (
-	deletionRetryDelay = 200 * time.Millisecond
-	maxDeletionTries   = 5
+	reclaimRetryDelay = 200 * time.Millisecond
+	maxReclaimTries   = 5
 )
 
-// deleteWithRetries runs a deletion up to maxDeletionTries times.
-func (gc *garbageCollector) deleteWithRetries(d deletion) {
-	x := &exchange{server: gc.server, conn: &conn{server: gc.server}, requestID: gc.server.opts.Host.RunID() + "-janitor", volume: d.volume, startedAt: time.Now(), waitStart: time.Now()}
-	for range maxDeletionTries {
-		if gc.runDeletion(x, &d) == nil {
+// newExchange returns an exchange for calls of the collector.
+func (gc *garbageCollector) newExchange(volume arrowwalk.Volume) *exchange {
+	return &exchange{server: gc.server, conn: &conn{server: gc.server}, requestID: gc.server.opts.Host.RunID() + "-janitor", volume: volume, startedAt: time.Now(), waitStart: time.Now()}
+}
+
+// reclaimWithRetries runs a reclamation up to maxReclaimTries times.
+func (gc *garbageCollector) reclaimWithRetries(r reclamation) {
+	x := gc.newExchange(r.volume)
+	var err error
+	for range maxReclaimTries {
+		if err = gc.reclaim(x, &r); err == nil {
 			return
 		}
 		select {
-		case <-time.After(deletionRetryDelay):
+		case <-time.After(reclaimRetryDelay):
 		case <-gc.quit:
 		}
 	}
 	gc.abandoned.Add(1)
-	gc.server.log.Warn("unused data not deleted", "data", d.piecePrefix, "upload", d.uploadID, "runs", len(d.runs))
+	gc.server.log.Warn("unused data not deleted, left to a sweep", "object", r.object, "pieces", r.id, "error", err)
 }
 
-// runDeletion runs a deletion. An earlier try may have done a part of it.
-func (gc *garbageCollector) runDeletion(x *exchange, d *deletion) error {
-	for _, r := range d.runs {
-		for i := range int((r.Size + r.PieceSize - 1) / r.PieceSize) {
-			name := placement.Piece(r.Base, i)
-			if err := gc.deleteBlob(x, brick.SpacePieces, name, x.shardOf(name)); err != nil {
-				return err
-			}
-		}
-	}
-	if d.partName != "" {
-		if err := gc.deleteBlob(x, brick.SpaceParts, d.partName, d.shard); err != nil {
+// reclaim runs a reclamation from its beginning. An earlier try may have done a part
+// of it.
+func (gc *garbageCollector) reclaim(x *exchange, r *reclamation) error {
+	if r.addEntry {
+		x.restartWait()
+		if _, err := x.writeBlob(brick.Request{Space: brick.SpaceTrash, Name: r.trashEntry}, r.shard(gc.server)); err != nil {
 			return err
 		}
+		r.addEntry = false
 	}
-	if d.uploadID != "" {
-		if err := gc.deletePrefix(x, brick.SpaceParts, d.shard, d.uploadID+"/", nil); err != nil {
+	var keep map[string]bool
+	steps := reclaim.New(r.kind, r.fromUpload)
+	for steps.Next() != reclaim.Finish {
+		x.restartWait()
+		var seen reclaim.Observation
+		var err error
+		switch steps.Next() {
+		case reclaim.RemoveIntent:
+			err = gc.deleteBlob(x, brick.SpaceIntents, intentName(r.object, r.id), r.shard(gc.server))
+		case reclaim.RemoveUpload:
+			err = gc.deleteBlob(x, brick.SpaceUploads, intentName(r.object, r.id), r.shard(gc.server))
+		case reclaim.ReadUpload:
+			_, _, seen.UploadExists, err = x.readBlob(brick.SpaceUploads, intentName(r.object, r.id), r.shard(gc.server), false)
+		case reclaim.ReadRecord:
+			keep, seen.Named, err = x.namedBases(r.object, r.id)
+		case reclaim.DeleteUnnamed:
+			err = gc.deleteUnnamed(x, r, keep)
+		}
+		if err != nil {
 			return err
 		}
+		steps.Done(seen)
 	}
-	if d.piecePrefix == "" {
+	if !r.final || r.trashEntry == "" {
 		return nil
 	}
+	return gc.deleteBlob(x, brick.SpaceTrash, r.trashEntry, r.shard(gc.server))
+}
+
+// namedBases returns whether an object's record names the pieces of a set, and the
+// bases of those that it names.
+func (x *exchange) namedBases(object, id string) (bases map[string]bool, named bool, err error) {
+	var body []byte
+	for _, withBody := range []bool{false, true} { // most records name other pieces: their bodies are not read
+		response, read, ok, err := x.readBlob(brick.SpaceObjects, object, x.shardOf(object), withBody)
+		if err != nil || !ok {
+			return nil, false, err
+		}
+		record, err := decodeRecord(response.Meta)
+		if err != nil || record.PiecePrefix != id {
+			return nil, false, err
+		}
+		body = read
+	}
+	m, err := decodeManifest(body)
+	if err != nil {
+		return nil, false, err
+	}
+	bases = map[string]bool{}
+	for _, run := range m.Runs {
+		bases[run.Base] = true
+	}
+	return bases, true, nil
+}
+
+// deleteUnnamed deletes the pieces of a set without those of the bases to keep, and
+// the part records of an upload.
+func (gc *garbageCollector) deleteUnnamed(x *exchange, r *reclamation, keep map[string]bool) error {
+	if r.fromUpload {
+		if err := gc.deletePrefix(x, brick.SpaceParts, r.shard(gc.server), r.id+"/", nil); err != nil {
+			return err
+		}
+	}
 	for shard := range gc.server.shards.Shards() {
-		if err := gc.deletePrefix(x, brick.SpacePieces, shard, d.piecePrefix+"/", d.keepBases); err != nil {
+		if err := gc.deletePrefix(x, brick.SpacePieces, shard, r.id+"/", keep); err != nil {
 			return err
 		}
 	}
@@ -175,7 +266,7 @@
 // deleteBlob deletes one blob. A blob that does not exist is no error.
 func (gc *garbageCollector) deleteBlob(x *exchange, space, name string, shard int) error {
 	x.restartWait()
-	_, ok, err := x.deleteBlob(space, name, shard, 0)
+	_, ok, err := x.deleteBlob(brick.Request{Space: space, Name: name}, shard)
 	if ok {
 		gc.deletedBlobs.Add(1)
 	}
@@ -207,3 +298,126 @@
 		}
 	}
 }
+
+// maxSweptPerShard bounds what one sweep reclaims at one shard, so that a sweep ends
+// and queued reclamations go on.
+const maxSweptPerShard = 64
+
+// sweep reclaims the entries of the trash whose grace is over and the intents whose
+// lease is.
+func (gc *garbageCollector) sweep() {
+	for shard := range gc.server.shards.Shards() {
+		for _, s := range []struct {
+			space  string
+			minAge time.Duration
+			parse  func(*Server, brick.ListItem) (reclamation, error)
+		}{{brick.SpaceTrash, gc.times.TrashGrace, parseTrashEntry}, {brick.SpaceIntents, gc.times.IntentLease, parseIntent}} {
+			if err := gc.sweepSpace(shard, s.space, s.minAge, s.parse); err != nil {
+				gc.server.log.Warn("sweep of unused data failed", "shard", shard, "space", s.space, "error", err)
+			}
+		}
+	}
+}
+
+// sweepSpace reclaims what the blobs of a space that are at least minAge old stand
+// for.
+func (gc *garbageCollector) sweepSpace(shard int, space string, minAge time.Duration, parse func(*Server, brick.ListItem) (reclamation, error)) error {
+	x := gc.newExchange(gc.server.volumeOf(""))
+	list := brick.ListQuery{MaxItems: maxListItems}
+	for swept := 0; ; {
+		x.restartWait()
+		page, err := x.listPage(space, shard, list)
+		if err != nil {
+			return err
+		}
+		for _, item := range page.Items {
+			list.After = string(item.Name)
+			if time.Since(time.UnixMicro(int64(item.Version))) < minAge { // versions are the brick's time in microseconds
+				continue
+			}
+			r, err := parse(gc.server, item)
+			if err != nil {
+				gc.server.log.Warn("invalid entry of unused data", "shard", shard, "space", space, "name", list.After, "error", err)
+				continue
+			}
+			gc.swept.Add(1)
+			gc.reclaimWithRetries(r)
+			if swept++; swept == maxSweptPerShard || gc.isStopping() {
+				return nil
+			}
+		}
+		if !page.More {
+			return nil
+		}
+	}
+}
+
+func (gc *garbageCollector) isStopping() bool {
+	select {
+	case <-gc.quit:
+		return true
+	default:
+		return false
+	}
+}
+
+// volumeOf returns the scheduler's volume of a bucket.
+func (s *Server) volumeOf(bucket string) arrowwalk.Volume {
+	return arrowwalk.Volume{ID: VolumeID(bucket), Plan: s.buckets.plan(bucket), Hosts: s.cfg.Host.Count}
+}
+
+// volumeOfObject returns the scheduler's volume of an object's bucket.
+func (s *Server) volumeOfObject(object string) arrowwalk.Volume {
+	bucket, _, _ := strings.Cut(object, "/")
+	return s.volumeOf(bucket)
+}
+
+// errInvalidEntry reports a name that the trash or an intent cannot have.
+var errInvalidEntry = errors.New("the name has another form")
+
+// parseTrashEntry returns the reclamation that an entry of the trash asks for, after
+// which the entry is removed.
+func parseTrashEntry(s *Server, item brick.ListItem) (reclamation, error) {
+	space, name, ok := brick.ParseTrashName(string(item.Name))
+	if !ok {
+		return reclamation{}, errInvalidEntry
+	}
+	r := reclamation{kind: reclaim.Record, object: name, volume: s.volumeOfObject(name)}
+	switch space {
+	case brick.SpaceObjects:
+		if r, ok = recordReclamation(r.volume, name, item.Meta, ""); !ok {
+			return reclamation{}, errInvalidEntry
+		}
+	case brick.SpaceUploads, brick.SpaceIntents:
+		if r.object, r.id, ok = cutLast(name, "\x00"); !ok {
+			return reclamation{}, errInvalidEntry
+		}
+		r.kind, r.fromUpload = reclaim.Intent, space == brick.SpaceUploads
+		if r.fromUpload {
+			r.kind = reclaim.Upload
+		}
+	default:
+		return reclamation{}, errInvalidEntry
+	}
+	r.trashEntry, r.final = string(item.Name), true
+	return r, nil
+}
+
+// parseIntent returns the reclamation of an abandoned intent.
+func parseIntent(s *Server, item brick.ListItem) (reclamation, error) {
+	object, id, ok := cutLast(string(item.Name), "\x00")
+	if !ok {
+		return reclamation{}, errInvalidEntry
+	}
+	return reclamation{kind: reclaim.Intent, volume: s.volumeOfObject(object), object: object, id: id,
+		trashEntry: brick.TrashName(brick.SpaceIntents, string(item.Name), id), addEntry: true}, nil
+}
+
+// cutLast cuts s around the last separator.
+func cutLast(s, separator string) (before, after string, found bool) {
+	i := strings.LastIndex(s, separator)
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+len(separator):], true
+}
--- a/internal/front/s3/multipart.go
+++ b/internal/front/s3/multipart.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	id := newUniqueID()
-	request := brick.Request{Space: brick.SpaceUploads, Name: uploadName(x.bucket, x.key, id), Meta: meta, IfAbsent: true}
+	request := brick.Request{Space: brick.SpaceUploads, Name: uploadName(x.bucket, x.key, id), Meta: meta, Whole: true, IfAbsent: true}
 	if _, err := x.writeBlob(request, x.objectShard()); err != nil {
 		return err
 	}
@@ -127,8 +127,9 @@
 
 // uploadPart serves UploadPart. It stores the pieces, then the record of the
 // part, and then checks that the upload still exists: a complete or abort that
-// deleted the upload before the record was written did not see the part, so
-// this request must delete it.
+// ended the upload before the record was written did not see the part, so that
+// the upload is reclaimed once more. The pieces of a part that fails are reclaimed
+// at the end of the upload: its record may have been written.
 func (x *exchange) uploadPart(id string) error {
 	number, err := strconv.Atoi(x.query.Get("partNumber"))
 	if err != nil || number < 1 || number > maxParts {
@@ -142,21 +143,19 @@
 		return err
 	}
 	part := partRecord{Number: number, Base: id + "/" + newUniqueID()}
-	runs, err := x.storePartBody(body, part.Base)
-	if err == nil {
-		err = body.verify()
+	if err := x.storePartBody(body, part.Base); err != nil {
+		return err
 	}
-	if err == nil {
-		part.ETag, part.Size, part.Checksums, part.UploadedMS = body.etag(), body.received, body.verifiedChecksums(), time.Now().UnixMilli()
-		err = x.storePartRecord(id, &part)
+	if err := body.verify(); err != nil {
+		return err
 	}
-	if err != nil {
-		x.server.gc.deleteRuns(x, runs)
+	part.ETag, part.Size, part.Checksums, part.UploadedMS = body.etag(), body.received, body.verifiedChecksums(), time.Now().UnixMilli()
+	if err := x.storePartRecord(id, &part); err != nil {
 		return err
 	}
 	if _, _, err := x.readUpload(id); err != nil {
 		if errors.Is(err, errNoSuchUpload) {
-			x.server.gc.deletePart(x, id, part)
+			x.server.gc.reclaimUpload(x.volume, x.object(), id, true)
 		}
 		return err
 	}
@@ -164,18 +163,16 @@
 }
 
 // storePartBody stores the body of a part as pieces, even if it fits into one.
-func (x *exchange) storePartBody(upload *upload, base string) ([]pieceRun, error) {
+func (x *exchange) storePartBody(upload *upload, base string) error {
 	buffer := x.server.opts.Spool.NewBuffer()
 	defer buffer.Release()
-	runs, err := x.storeBody(upload, base, buffer)
+	runs, err := x.storeBody(upload, base, buffer, nil)
 	if err != nil || runs != nil || buffer.Len() == 0 {
-		return runs, err
+		return err
 	}
 	name := placement.Piece(base, 0)
-	if _, err := x.writeBlob(brick.Request{Space: brick.SpacePieces, Name: name, Body: buffer}, x.shardOf(name)); err != nil {
-		return []pieceRun{{base, buffer.Len(), x.server.cfg.PieceBytes}}, err
-	}
-	return []pieceRun{{base, buffer.Len(), x.server.cfg.PieceBytes}}, nil
+	_, err = x.writeBlob(brick.Request{Space: brick.SpacePieces, Name: name, Body: buffer}, x.shardOf(name))
+	return err
 }
 
 // partName returns the name under which the record of a part is stored.
@@ -298,14 +295,13 @@
 		return err
 	}
 	record, err := x.writeCompletedObject(id, upload, selected)
+	if errors.Is(err, errOwnerMissing) { // a concurrent complete was faster
+		return x.respondAlreadyCompleted(id)
+	}
 	if err != nil {
 		return err
 	}
-	if _, _, err := x.deleteBlob(brick.SpaceUploads, uploadName(x.bucket, x.key, id), x.objectShard(), 0); err != nil {
-		x.server.log.Warn("failed to delete completed upload", "request", x.requestID, "error", err) // the object is complete nevertheless
-	} else {
-		x.server.gc.deleteUnusedParts(x, id, selected)
-	}
+	x.server.gc.reclaimUpload(x.volume, x.object(), id, false)
 	return x.respondCompleted(record)
 }
 
@@ -358,7 +354,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = x.writeBlob(brick.Request{Space: brick.SpaceUploads, Name: uploadName(x.bucket, x.key, id), Meta: meta, IfVersion: version}, x.objectShard())
+	_, err = x.writeBlob(brick.Request{Space: brick.SpaceUploads, Name: uploadName(x.bucket, x.key, id), Meta: meta, Whole: true, IfVersion: version}, x.objectShard())
 	if !errors.Is(err, errPrecondition) {
 		return err
 	}
@@ -373,7 +369,7 @@
 }
 
 // writeCompletedObject writes the object that consists of the given parts. The
-// write is atomic.
+// write is atomic and consumes the record of the upload.
 func (x *exchange) writeCompletedObject(id string, upload *uploadRecord, parts []partRecord) (*record, error) {
 	record := upload.Object
 	record.UploadID, record.ModifiedMS = id, time.Now().UnixMilli()
@@ -395,7 +391,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record, x.storeRecord(request, &record, id, runs, nil)
+	owner := pieceOwner{brick.SpaceUploads, uploadName(x.bucket, x.key, id)}
+	return &record, x.storeRecord(request, &record, id, owner, runs, nil)
 }
 
 // respondAlreadyCompleted responds to a complete of an upload that no longer
@@ -429,7 +426,7 @@
 	if upload.Completing != "" {
 		return errConflict
 	}
-	_, ok, err := x.deleteBlob(brick.SpaceUploads, uploadName(x.bucket, x.key, id), x.objectShard(), version)
+	_, ok, err := x.deleteBlob(brick.Request{Space: brick.SpaceUploads, Name: uploadName(x.bucket, x.key, id), IfVersion: version, Trash: id}, x.objectShard())
 	switch {
 	case errors.Is(err, errPrecondition):
 		return errConflict
@@ -438,7 +435,7 @@
 	case !ok:
 		return errNoSuchUpload
 	}
-	x.server.gc.deleteUnusedParts(x, id, nil)
+	x.server.gc.reclaimUpload(x.volume, x.object(), id, false)
 	x.buildHead(204, nil, -1)
 	return x.flush()
 }
--- a/internal/front/s3/put.go
+++ b/internal/front/s3/put.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"encoding/xml"
 	"errors"
-	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/placement"
+	"arrowwalk/internal/reclaim"
 	"arrowwalk/internal/spool"
 )
 
@@ -36,22 +36,20 @@
 	if err != nil {
 		return err
 	}
-	id := newUniqueID()
+	set := x.newPieceSet()
 	buffer := x.server.opts.Spool.NewBuffer()
 	defer buffer.Release()
-	runs, err := x.storeBody(body, id+"/o", buffer)
+	runs, err := x.storeBody(body, set.id+"/o", buffer, set)
 	if err == nil {
 		err = body.verify()
 	}
 	if err == nil {
 		newRecord.ETag, newRecord.Size, newRecord.Checksums = body.etag(), body.received, body.verifiedChecksums()
 		newRecord.ModifiedMS = time.Now().UnixMilli()
-		err = x.storeRecord(request, newRecord, id, runs, buffer)
+		err = x.storeRecord(request, newRecord, set.id, set.owner(), runs, buffer)
 	}
 	if err != nil {
-		if len(runs) > 0 {
-			x.server.gc.deleteRuns(x, runs)
-		}
+		set.giveUp()
 		return err
 	}
 	return x.respond(200, body.responseFields(), nil)
@@ -109,9 +107,9 @@
 
 // storeBody reads an upload. A body that fits into one piece is left in
 // buffer. A larger body is stored in pieces as it arrives, and the run of
-// pieces is returned, also together with an error, so that the caller can
-// delete them.
-func (x *exchange) storeBody(u *upload, base string, buffer *spool.Buffer) ([]pieceRun, error) {
+// pieces is returned, also together with an error. set is the set of the
+// pieces if an intent owns them; nil: another blob does.
+func (x *exchange) storeBody(u *upload, base string, buffer *spool.Buffer, set *pieceSet) ([]pieceRun, error) {
 	pieceSize := x.server.cfg.PieceBytes
 	var runs []pieceRun
 	for index := 0; ; index++ {
@@ -129,6 +127,9 @@
 			return nil, nil
 		}
 		if size > 0 {
+			if err := set.prepare(index == 0); err != nil {
+				return runs, err
+			}
 			if runs == nil {
 				runs = []pieceRun{{Base: base, PieceSize: pieceSize}}
 			}
@@ -168,10 +169,11 @@
 }
 
 // storeRecord writes the blob of an object: its record with the body, or with
-// the manifest of its pieces. The pieces of the object that it replaces are
-// deleted in the background.
-func (x *exchange) storeRecord(request brick.Request, rec *record, id string, runs []pieceRun, body *spool.Buffer) error {
-	request.Space, request.Name = brick.SpaceObjects, placement.Object(x.bucket, x.key)
+// the manifest of its pieces. The latter consumes the owner of the pieces, so that it
+// takes effect at most once. The pieces of the object that it replaces are
+// reclaimed in the background.
+func (x *exchange) storeRecord(request brick.Request, rec *record, id string, owner pieceOwner, runs []pieceRun, body *spool.Buffer) error {
+	request.Space, request.Name, request.Trash = brick.SpaceObjects, x.object(), id
 	if runs != nil {
 		rec.PiecePrefix = id
 		manifestJSON, err := json.Marshal(manifest{runs})
@@ -179,6 +181,7 @@
 			return err
 		}
 		request.Body, request.Whole = brick.Bytes(manifestJSON), true
+		request.ConsumeSpace, request.ConsumeName = owner.space, owner.name
 	} else if body != nil {
 		request.Body = body
 	}
@@ -187,23 +190,40 @@
 		return err
 	}
 	response, err := x.writeBlob(request, x.shardOf(request.Name))
-	if err != nil {
+	switch reclaim.AfterWrite(outcomeOf(err)) {
+	case reclaim.CheckRecord:
+		return x.checkStored(id, err)
+	case reclaim.GiveUp:
 		return err
 	}
-	x.deleteReplacedPieces(response.Replaced, rec.PiecePrefix)
+	x.server.gc.reclaimRecord(x.volume, request.Name, response.Replaced, id)
 	return nil
 }
 
-// deleteReplacedPieces deletes the pieces of a replaced or deleted object in
-// the background. meta is its record and newPrefix the piece prefix of the new
-// object, if any.
-func (x *exchange) deleteReplacedPieces(meta []byte, newPrefix string) {
-	if len(meta) == 0 {
-		return
-	}
-	if old, err := decodeRecord(meta); err == nil && old.PiecePrefix != "" && old.PiecePrefix != newPrefix {
-		x.server.gc.deletePieces(x, old.PiecePrefix)
-	}
+// outcomeOf returns the outcome of the write of a record that ended with err. An error
+// that tells of a condition that did not hold is treated like any other, since an
+// earlier attempt may have taken effect.
+func outcomeOf(err error) reclaim.Outcome {
+	switch {
+	case err == nil:
+		return reclaim.Stored
+	case errors.Is(err, errOwnerMissing):
+		return reclaim.OwnerMissing
+	}
+	return reclaim.Unknown
+}
+
+// checkStored returns nil if the object's record names the set with the given ID, and
+// otherwise err.
+func (x *exchange) checkStored(id string, err error) error {
+	_, named, readErr := x.namedBases(x.object(), id)
+	switch {
+	case readErr != nil:
+		return readErr
+	case named:
+		return nil
+	}
+	return err
 }
 
 // deleteObject serves DeleteObject. Deleting an object that does not exist
@@ -225,12 +245,13 @@
 // deleteKey deletes one object of the bucket.
 func (x *exchange) deleteKey(key string) error {
 	name := placement.Object(x.bucket, key)
-	response, ok, err := x.deleteBlob(brick.SpaceObjects, name, x.shardOf(name), 0)
+	suffix := newUniqueID()
+	response, ok, err := x.deleteBlob(brick.Request{Space: brick.SpaceObjects, Name: name, Trash: suffix}, x.shardOf(name))
 	if err != nil {
 		return err
 	}
 	if ok {
-		x.deleteReplacedPieces(response.Replaced, "")
+		x.server.gc.reclaimRecord(x.volume, name, response.Replaced, suffix)
 	}
 	return nil
 }
@@ -369,39 +390,42 @@
 		}
 	}
 	newRecord.ModifiedMS = time.Now().UnixMilli()
-	id := newUniqueID()
+	set := x.newPieceSet()
 	var runs []pieceRun
 	if response.Whole {
-		if runs, err = x.copyPieces(body, id, sourceRecord.Size); err != nil {
-			x.server.gc.deletePieces(x, id)
-			return err
-		}
+		runs, err = x.copyPieces(body, set, sourceRecord.Size)
 	} else {
 		request.Body = brick.Bytes(body)
 	}
-	if err := x.storeRecord(request, newRecord, id, runs, nil); err != nil {
-		if runs != nil {
-			x.server.gc.deletePieces(x, id)
-		}
+	if err == nil {
+		err = x.storeRecord(request, newRecord, set.id, set.owner(), runs, nil)
+	}
+	if err != nil {
+		set.giveUp()
 		return err
 	}
 	return x.respondXML(200, copyObjectResult{ETag: quoteETag(newRecord.ETag), LastModified: formatISOTime(newRecord.ModifiedMS)})
 }
 
-// copyPieces copies the pieces of a manifest to new names that begin with id,
-// and returns the new runs.
-func (x *exchange) copyPieces(manifestJSON []byte, id string, size int64) ([]pieceRun, error) {
-	var m manifest
-	if err := json.Unmarshal(manifestJSON, &m); err != nil || !m.isValid(size) {
-		return nil, fmt.Errorf("invalid manifest of the copy source: %v", err)
+// copyPieces copies the pieces of a manifest to a new set and returns its runs.
+func (x *exchange) copyPieces(manifestJSON []byte, set *pieceSet, size int64) ([]pieceRun, error) {
+	m, err := decodeManifest(manifestJSON)
+	if err != nil {
+		return nil, err
+	}
+	if !m.isValid(size) {
+		return nil, errors.New("the manifest of the copy source contradicts its size")
 	}
 	runs := make([]pieceRun, len(m.Runs))
 	for i, r := range m.Runs {
-		runs[i] = pieceRun{Base: id + "/" + strconv.Itoa(i), Size: r.Size, PieceSize: r.PieceSize}
+		runs[i] = pieceRun{Base: set.id + "/" + strconv.Itoa(i), Size: r.Size, PieceSize: r.PieceSize}
 		for index := range int((r.Size + r.PieceSize - 1) / r.PieceSize) {
 			if x.clientTimeout == 0 { // the time limit applies to each piece, because copying takes time in proportion to the size
 				x.restartWait()
 			}
+			if err := set.prepare(i == 0 && index == 0); err != nil {
+				return nil, err
+			}
 			sourceName, targetName := placement.Piece(r.Base, index), placement.Piece(runs[i].Base, index)
 			_, data, ok, err := x.readBlob(brick.SpacePieces, sourceName, x.shardOf(sourceName), true)
 			if err != nil {
--- a/internal/front/s3/record.go
+++ b/internal/front/s3/record.go
@@ -51,6 +51,15 @@
 	return r, nil
 }
 
+// decodeManifest decodes a stored manifest.
+func decodeManifest(text []byte) (*manifest, error) {
+	m := &manifest{}
+	if err := json.Unmarshal(text, m); err != nil {
+		return nil, fmt.Errorf("object manifest: %w", err)
+	}
+	return m, nil
+}
+
 // encode returns the stored form of the record, or an error response if it is
 // too large.
 func (r *record) encode() ([]byte, error) {
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -44,6 +44,8 @@
 	// IgnoreSocketAge treats bytes that are found after a stall as new. Only for
 	// proofs that must fail.
 	IgnoreSocketAge bool
+	// Reclaim holds the times of the garbage collector.
+	Reclaim ReclaimTimes
 	// AcceptAnyBrick accepts a response from a brick other than the one addressed.
 	// Only for proofs that must fail.
 	AcceptAnyBrick bool
@@ -111,6 +113,7 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	opts.Reclaim = opts.Reclaim.withDefaults()
 	cfg := opts.Config
 	s := &Server{opts: opts, cfg: cfg, log: opts.Log, listener: listener, shards: shards, conns: map[*conn]struct{}{},
 		quit: make(chan struct{}), sizeEstimator: sizing.NewEstimator(64 << 10),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	// disables fencing of block volumes, and "crash-STAGE" kills the process at a
 	// stage of an order.
 	DisabledGuard string
+	Reclaim       s3.ReclaimTimes  // of the deletion of unused data; zero values stand for defaults
 	NoSync        bool             // embedded bricks do not sync to disk; only for tests and benchmarks
 	Now           func() time.Time // wall clock for signatures; nil means time.Now
 }
@@ -140,7 +141,7 @@
 		secrets[k.Access] = k.Secret
 	}
 	s3Options := s3.Options{OnObservation: g.recordObservation, OnTaskEnd: g.recordOutcome, NotReadyReason: g.notReadyReason, Config: cfg, Host: g.host, Pool: g.pool, Spool: g.spool, Secrets: secrets, Log: g.opts.Log, Now: g.opts.Now,
-		AcceptAnyBrick: g.opts.DisabledGuard == "expect", IgnoreSocketAge: g.opts.DisabledGuard == "age"}
+		AcceptAnyBrick: g.opts.DisabledGuard == "expect", IgnoreSocketAge: g.opts.DisabledGuard == "age", Reclaim: g.opts.Reclaim}
 	if g.s3Server, err = s3.Start(listener, s3Options); err != nil {
 		return err
 	}
