prove objects: objects written by many clients are registers, whatever happens

Need: the rule by which pieces are deleted was checked in a model and by single faults, not under drawn ones with gateways that share bricks.

Change: two gateways as processes on three bricks, eight clients on six objects (put, delete, one-part uploads that are repeated, completed twice or aborted), faults drawn for each request, clients that leave, gateways and a brick killed.

--- a/cmd/arrowwalk/main_test.go
+++ b/cmd/arrowwalk/main_test.go
@@ -244,3 +244,24 @@
 		}
 	}
 }
+
+// Each part of the rule by which pieces are deleted is seen to be missing: objects
+// cannot be read, or come back. What is drawn decides how soon, so that some seeds may
+// pass.
+func TestObjectsSeesMissingGuards(t *testing.T) {
+	t.Parallel()
+	for _, guard := range []string{"consume", "remove-owner", "read-record"} {
+		t.Run(guard, func(t *testing.T) {
+			t.Parallel()
+			const seeds = 8
+			for seed := int64(1); seed <= seeds; seed++ {
+				good, out := play(t, "objects", func(o *prove.Options) { o.Guard, o.Seed = guard, seed })
+				if !good {
+					t.Logf("seed %d:\n%s", seed, out)
+					return
+				}
+			}
+			t.Errorf("the proof did not see it with %d seeds", seeds)
+		})
+	}
+}
--- a/cmd/arrowwalk/serve.go
+++ b/cmd/arrowwalk/serve.go
@@ -33,7 +33,7 @@
 	CPUProfile string `type:"path" name:"cpu-profile" help:"File for a CPU profile of the whole run (pprof)."`
 	tolerant   bool
 	tell       func(*gateway.Gateway, *config.Config)
-	DropGuard  string `hidden:"" enum:",expect,age,apply,fence,crash-recorded,crash-applied" default:"" help:"Take a guard out, so that a proof is seen to fail."`
+	DropGuard  string `hidden:"" enum:",expect,age,apply,fence,consume,remove-owner,read-record,crash-recorded,crash-applied" default:"" help:"Take a guard out, so that a proof is seen to fail."`
 	ClockFile  string `type:"path" hidden:"" help:"File with seconds to add to the wall clock when signatures are checked; for proofs."`
 	Control    string `type:"path" help:"Path of the operators' socket; without it control.sock in the data directory."`
 	ReadyFile  string `type:"path" help:"File to write, once it serves, with endpoint, keys, region and pid."`
--- a/internal/front/s3/gc.go
+++ b/internal/front/s3/gc.go
@@ -21,6 +21,13 @@
 	IntentLease   time.Duration // after which an intent that is not renewed counts as abandoned
 }
 
+// DisabledReclaim holds the parts of the rule of package reclaim that are disabled.
+type DisabledReclaim struct {
+	Consume     bool // writes of records consume no owner
+	RemoveOwner bool // the owner of pieces is not removed before they are deleted
+	ReadRecord  bool // pieces are deleted without reading whether the record names them
+}
+
 // withDefaults returns t with its zero values replaced.
 func (t ReclaimTimes) withDefaults() ReclaimTimes {
 	setDefault := func(d *time.Duration, defaultValue time.Duration) {
@@ -192,22 +199,24 @@
 		}
 		r.addEntry = false
 	}
+	disabled := &gc.server.opts.DisabledReclaim
 	var keep map[string]bool
 	steps := reclaim.New(r.kind, r.fromUpload)
 	for steps.Next() != reclaim.Finish {
 		x.restartWait()
 		var seen reclaim.Observation
 		var err error
-		switch steps.Next() {
-		case reclaim.RemoveIntent:
+		switch step := steps.Next(); {
+		case disabled.RemoveOwner && (step == reclaim.RemoveIntent || step == reclaim.RemoveUpload), disabled.ReadRecord && step == reclaim.ReadRecord:
+		case step == reclaim.RemoveIntent:
 			err = gc.deleteBlob(x, brick.SpaceIntents, intentName(r.object, r.id), r.shard(gc.server))
-		case reclaim.RemoveUpload:
+		case step == reclaim.RemoveUpload:
 			err = gc.deleteBlob(x, brick.SpaceUploads, intentName(r.object, r.id), r.shard(gc.server))
-		case reclaim.ReadUpload:
+		case step == reclaim.ReadUpload:
 			_, _, seen.UploadExists, err = x.readBlob(brick.SpaceUploads, intentName(r.object, r.id), r.shard(gc.server), false)
-		case reclaim.ReadRecord:
+		case step == reclaim.ReadRecord:
 			keep, seen.Named, err = x.namedBases(r.object, r.id)
-		case reclaim.DeleteUnnamed:
+		case step == reclaim.DeleteUnnamed:
 			err = gc.deleteUnnamed(x, r, keep)
 		}
 		if err != nil {
--- a/internal/front/s3/put.go
+++ b/internal/front/s3/put.go
@@ -181,7 +181,9 @@
 			return err
 		}
 		request.Body, request.Whole = brick.Bytes(manifestJSON), true
-		request.ConsumeSpace, request.ConsumeName = owner.space, owner.name
+		if !x.server.opts.DisabledReclaim.Consume {
+			request.ConsumeSpace, request.ConsumeName = owner.space, owner.name
+		}
 	} else if body != nil {
 		request.Body = body
 	}
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -46,6 +46,9 @@
 	IgnoreSocketAge bool
 	// Reclaim holds the times of the garbage collector.
 	Reclaim ReclaimTimes
+	// DisabledReclaim disables parts of the rule of package reclaim. Only for proofs
+	// that must fail.
+	DisabledReclaim DisabledReclaim
 	// AcceptAnyBrick accepts a response from a brick other than the one addressed.
 	// Only for proofs that must fail.
 	AcceptAnyBrick bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,8 @@
 	// the fault: "expect" trusts a cached brick list and accepts responses from a
 	// brick other than the one addressed, "age" treats bytes that are found after
 	// a stall as new, "apply" records orders without applying them, "fence"
-	// disables fencing of block volumes, and "crash-STAGE" kills the process at a
+	// disables fencing of block volumes, "consume", "remove-owner" and "read-record"
+	// disable parts of the rule by which pieces are deleted, and "crash-STAGE" kills the process at a
 	// stage of an order.
 	DisabledGuard string
 	Reclaim       s3.ReclaimTimes  // of the deletion of unused data; zero values stand for defaults
@@ -141,7 +142,8 @@
 		secrets[k.Access] = k.Secret
 	}
 	s3Options := s3.Options{OnObservation: g.recordObservation, OnTaskEnd: g.recordOutcome, NotReadyReason: g.notReadyReason, Config: cfg, Host: g.host, Pool: g.pool, Spool: g.spool, Secrets: secrets, Log: g.opts.Log, Now: g.opts.Now,
-		AcceptAnyBrick: g.opts.DisabledGuard == "expect", IgnoreSocketAge: g.opts.DisabledGuard == "age", Reclaim: g.opts.Reclaim}
+		AcceptAnyBrick: g.opts.DisabledGuard == "expect", IgnoreSocketAge: g.opts.DisabledGuard == "age", Reclaim: g.opts.Reclaim,
+		DisabledReclaim: s3.DisabledReclaim{Consume: g.opts.DisabledGuard == "consume", RemoveOwner: g.opts.DisabledGuard == "remove-owner", ReadRecord: g.opts.DisabledGuard == "read-record"}}
 	if g.s3Server, err = s3.Start(listener, s3Options); err != nil {
 		return err
 	}
--- a/internal/prove/prove.go
+++ b/internal/prove/prove.go
@@ -83,6 +83,7 @@
 	{"reserves", "One front floods the bricks; a volume on the other, inside its reserve, is served in time.", reservesProof},
 	{"power-loss", "Bricks lose power at any call to their disks, and what was not synced; what was acknowledged is there.", powerLoss},
 	{"corruption", "Bits change on disks and on the way; what is wrong becomes a failure, never bytes.", corruption},
+	{"objects", "Clients write the same objects through two gateways: lost and late answers, leavers, kills; each is a register.", objectsProof},
 	{"platform", "A host on the platform's protocol: spoilt answers, strangers, silence, churn, reloads, a planned restart.", platformProof},
 	{"rings", "A virtual machine on a block volume and object clients at once: faults, crashes, a stall, a theft of the volume.", ringsProof},
 }
