--- a/internal/prove/objects.go
+++ b/internal/prove/objects.go
@@ -259,7 +259,8 @@
 	run    *objectsRun
 	draw   *rand.Rand
 	conn   [objectGateways]*clients.Client
-	upload objectUpload // that it completes once more later
+	beside *clients.Client // for a request at the same time
+	upload objectUpload    // that it completes once more later
 }
 
 // objectUpload is a multipart upload with its part.
@@ -275,6 +276,8 @@
 		c.conn[i] = &clients.Client{Name: fmt.Sprintf("object-%d-%d", number, i), Target: r.gateways[i].target, Log: &clients.Log{}}
 		defer c.conn[i].Close()
 	}
+	c.beside = &clients.Client{Name: fmt.Sprintf("object-%d-beside", number), Target: r.gateways[number%objectGateways].target, Log: &clients.Log{}}
+	defer c.beside.Close()
 	for {
 		select {
 		case <-stop:
@@ -341,8 +344,8 @@
 	c.run.history.wrote(path, absentObject, began, a.Call.Status == 204)
 }
 
-// multipart uploads an object as one part, which it may send twice, and completes or
-// aborts the upload.
+// multipart uploads an object as one part, which it may send twice, and completes the
+// upload, perhaps beside an abort, the same part, or a delete of the object.
 func (c *objectClient) multipart(path string) {
 	a := c.do(&clients.Request{Method: "POST", Path: path, Query: query("uploads", "")})
 	id, err := a.Text("UploadId")
@@ -356,13 +359,36 @@
 	for range 1 + c.draw.IntN(2) {
 		c.do(c.leaves(&clients.Request{Method: "PUT", Path: path, Body: body, Query: query("partNumber", "1", "uploadId", id)}))
 	}
-	if c.draw.IntN(8) == 0 {
-		c.do(&clients.Request{Method: "DELETE", Path: path, Query: query("uploadId", id)})
+	var beside *clients.Request
+	switch c.draw.IntN(6) {
+	case 0:
+		beside = &clients.Request{Method: "DELETE", Path: path, Query: query("uploadId", id)}
+	case 1:
+		beside = &clients.Request{Method: "PUT", Path: path, Body: body, Query: query("partNumber", "1", "uploadId", id)}
+	case 2:
+		beside = &clients.Request{Method: "DELETE", Path: path}
+	}
+	var wg sync.WaitGroup
+	if beside != nil {
+		wg.Go(func() { c.requestBeside(beside) })
 	}
 	c.complete(u)
+	wg.Wait()
 	c.upload = u
 }
 
+// requestBeside sends an abort, a part or a delete while the client completes an
+// upload.
+func (c *objectClient) requestBeside(q *clients.Request) {
+	c.run.requests.Add(1)
+	q.Wait = 2 * objectDeadline
+	began := time.Now()
+	a := c.beside.Do(q)
+	if q.Method == "DELETE" && q.Query == nil {
+		c.run.history.wrote(q.Path, absentObject, began, a.Call.Status == 204)
+	}
+}
+
 // complete completes an upload, perhaps not for the first time.
 func (c *objectClient) complete(u objectUpload) {
 	if u.id == "" {
@@ -386,10 +412,12 @@
 			r.fault("%v", err)
 		}
 	}
+	sweepBegan := time.Now()
 	before, after, err := r.sweep(ctx)
 	if err != nil {
 		return err
 	}
+	swept := time.Since(sweepBegan)
 	var left []string
 	if after.unnamed > 0 || after.waiting > 0 {
 		left = append(left, fmt.Sprintf("%d pieces that no record names, %d entries of the trash and intents", after.unnamed, after.waiting))
@@ -399,6 +427,7 @@
 	rep.Calls = int(r.requests.Load())
 	rep.note("%d requests, %d operations of which %d have an unknown outcome; before the last sweep %d pieces named, %d not, after it %d and %d",
 		rep.Calls, operations, r.history.unknown, before.named, before.unnamed, after.named, after.unnamed)
+	rep.note("the last sweep took %s for %d entries of the trash and intents", swept.Round(time.Millisecond), before.waiting)
 	rep.add(lost, "claim each object can be read at the end: %d objects, %d broken", objectPaths, len(lost))
 	rep.add(r.history.foreign, "claim answers are whole contents that a client wrote: %d operations, %d broken", operations, len(r.history.foreign))
 	rep.add(order, "claim each object is a register: %d operations, %d broken", operations, len(order))
