Object API: a stop answers the requests that arrived before it

What callers saw: a gateway that stood still when it was told to stop closed new connections on which requests had arrived, and could close kept ones, without a response.

Cause: Shutdown closed the listener, which resets the connections that the kernel has established and nobody has accepted, and interrupted each connection at rest without a look at its socket.

Change: internal/netdrain accepts what is established before it closes a listener; a connection at rest is interrupted only if nothing has arrived on it. Connections that come in the stop are served to their response in place of a 503 whose close could reset it.

--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -18,6 +19,7 @@
 	"arrowwalk/internal/front/s3/sigv4"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/netdrain"
 	"arrowwalk/internal/placement"
 	"arrowwalk/internal/sizing"
 	"arrowwalk/internal/sockstate"
@@ -59,7 +61,7 @@
 	opts          Options
 	cfg           *config.Config
 	log           *slog.Logger
-	listener      net.Listener
+	listener      *netdrain.Listener
 	verifier      *sigv4.Verifier
 	shards        *placement.Map
 	sizeEstimator *sizing.Estimator
@@ -76,6 +78,8 @@
 	closing atomic.Bool
 	wg      sync.WaitGroup
 	quit    chan struct{}
+
+	acceptDone chan struct{} // closed when no more connections are accepted
 }
 
 // counters holds the statistics of a Server. It is safe for concurrent use.
@@ -106,6 +110,10 @@
 
 // Start serves connections of listener until Shutdown, which closes it.
 func Start(listener net.Listener, opts Options) (*Server, error) {
+	tcpListener, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil, fmt.Errorf("listener of type %T: must be TCP", listener)
+	}
 	shards, err := opts.Config.Placement()
 	if err != nil {
 		return nil, err
@@ -118,8 +126,8 @@
 	}
 	opts.Reclaim = opts.Reclaim.withDefaults()
 	cfg := opts.Config
-	s := &Server{opts: opts, cfg: cfg, log: opts.Log, listener: listener, shards: shards, conns: map[*conn]struct{}{},
-		quit: make(chan struct{}), sizeEstimator: sizing.NewEstimator(64 << 10),
+	s := &Server{opts: opts, cfg: cfg, log: opts.Log, listener: netdrain.New(tcpListener), shards: shards, conns: map[*conn]struct{}{},
+		quit: make(chan struct{}), acceptDone: make(chan struct{}), sizeEstimator: sizing.NewEstimator(64 << 10),
 		verifier:   sigv4.NewVerifier(cfg.Region, config.MS(cfg.Timeouts.SkewMS), opts.Secrets),
 		headLimits: http1.Limits{MaxLineBytes: min(16<<10, cfg.Bounds.HeaderBytes), MaxHeadBytes: cfg.Bounds.HeaderBytes, MaxFields: 200}}
 	s.sender = attempts.Sender{Pool: opts.Pool, Host: opts.Host, Config: cfg, Observe: opts.OnObservation, AcceptAnyBrick: opts.AcceptAnyBrick}
@@ -135,17 +143,17 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Shutdown stops accepting connections, waits until the requests in progress
-// are answered, and closes the connections. When ctx ends, it closes the
-// remaining connections at once.
+// Shutdown accepts the connections that are already established and no others, waits
+// until the requests in progress and those that have arrived are answered, and closes
+// the connections. When ctx ends, it closes the remaining connections at once.
 func (s *Server) Shutdown(ctx context.Context) {
 	if s.closing.Swap(true) {
 		return
 	}
-	s.listener.Close()
-	s.forEachConn(func(c *conn) { c.interruptIdle() })
+	s.listener.Drain()
 	done := make(chan struct{})
 	go func() {
+		<-s.acceptDone
 		s.waitForConns(ctx)
 		s.gc.stop(ctx)
 		close(s.quit)
@@ -161,9 +169,9 @@
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for s.stats.openConns.Load() > 0 {
+		s.forEachConn(func(c *conn) { c.interruptIdle() })
 		select {
 		case <-ticker.C:
-			s.forEachConn(func(c *conn) { c.interruptIdle() })
 		case <-ctx.Done():
 			s.forEachConn(func(c *conn) {
 				c.abandonTasks()
@@ -183,9 +191,10 @@
 	}
 }
 
-// acceptLoop accepts connections until the listener is closed.
+// acceptLoop accepts connections until the listener is drained.
 func (s *Server) acceptLoop() {
 	defer s.wg.Done()
+	defer close(s.acceptDone)
 	for {
 		netConn, err := s.listener.Accept()
 		if err != nil {
@@ -205,9 +214,9 @@
 }
 
 // startConn starts serving a connection, or responds with 503 and closes it if
-// the server is closing or has reached its connection limit.
+// the server has reached its connection limit.
 func (s *Server) startConn(netConn net.Conn) {
-	if s.stats.openConns.Add(1) > int64(s.cfg.Bounds.Connections) || s.closing.Load() {
+	if s.stats.openConns.Add(1) > int64(s.cfg.Bounds.Connections) {
 		s.stats.openConns.Add(-1)
 		s.stats.refusedConns.Add(1)
 		netConn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
@@ -314,7 +323,7 @@
 	c.netConn.SetReadDeadline(time.Now().Add(config.MS(c.server.cfg.Timeouts.IdleMS)))
 	closing := c.server.closing.Load()
 	c.mu.Unlock()
-	if closing {
+	if closing && !c.hasUnreadData() {
 		return false
 	}
 	if c.rawConn != nil {
@@ -354,7 +363,7 @@
 		c.mu.Lock()
 		c.netConn.SetReadDeadline(time.Now().Add(config.MS(c.server.cfg.Timeouts.IdleMS)))
 		c.mu.Unlock()
-		if c.server.closing.Load() {
+		if c.server.closing.Load() && !c.hasUnreadData() {
 			return net.ErrClosed
 		}
 	}
@@ -381,10 +390,16 @@
 	return r.conn.netConn.Read(b)
 }
 
-// interruptIdle ends the wait of an idle connection when the server closes.
+// hasUnreadData reports whether data has arrived that was not read yet.
+func (c *conn) hasUnreadData() bool {
+	return c.rawConn != nil && sockstate.Readable(c.rawConn) && !sockstate.AtEOF(c.rawConn)
+}
+
+// interruptIdle ends the wait of an idle connection when the server closes, unless a
+// request has arrived on it.
 func (c *conn) interruptIdle() {
 	c.mu.Lock()
-	if c.idle {
+	if c.idle && !c.hasUnreadData() {
 		c.netConn.SetReadDeadline(time.Unix(1, 0))
 	}
 	c.mu.Unlock()
--- /dev/null
+++ b/internal/netdrain/netdrain_test.go
@@ -0,0 +1,70 @@
+package netdrain
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T) *Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(ln.(*net.TCPListener))
+}
+
+// Connections that were established before Drain are accepted after it, and no others.
+func TestDrainAcceptsEstablishedConnections(t *testing.T) {
+	l := listen(t)
+	const established = 50
+	for range established {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if _, err := io.WriteString(nc, "request"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Drain()
+	accepted := 0
+	for ; ; accepted++ {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.Close()
+	}
+	if accepted != established {
+		t.Errorf("%d connections accepted, want %d", accepted, established)
+	}
+	if nc, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		nc.Close()
+		t.Error("a drained listener accepts connections")
+	}
+}
+
+// Drain ends a waiting Accept.
+func TestDrainEndsAccept(t *testing.T) {
+	l := listen(t)
+	ended := make(chan error)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	l.Drain()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/standin/clients/client.go
+++ b/internal/standin/clients/client.go
@@ -78,6 +78,8 @@
 	Want     []byte        // the answer's body must be this; nil: anything
 	Skew     time.Duration // of the client's clock
 
+	OnSent func() // called when all was sent; nil: nothing is
+
 	HangUpAfter int           // bytes of the body after which it hangs up; 0: never
 	HangUpWait  time.Duration // it hangs up so long after it sent all; 0: never
 	Pause       time.Duration // in the middle of its body
@@ -174,6 +176,9 @@
 		return err
 	}
 	a.Call.Sent = time.Now().UnixMicro()
+	if r.OnSent != nil {
+		r.OnSent()
+	}
 	if r.HangUpWait > 0 {
 		c.nc.SetReadDeadline(time.Now().Add(r.HangUpWait))
 		if _, err := c.in.Peek(1); err != nil {
