--- a/internal/platform/stalled_stop_test.go
+++ b/internal/platform/stalled_stop_test.go
@@ -55,16 +55,30 @@
 	addr string
 }
 
-// startChildHost starts a host that knows one brick and has no agent.
-func startChildHost(t *testing.T, brick *standin.Brick, replacements ...string) *childHost {
+// childHostPatience is how long clients of a child host wait. It lies beyond its
+// shutdown, which counts 3 s of it.
+const childHostPatience = 20 * time.Second
+
+// untilKill is how long after SIGTERM the platform does not kill the host.
+const untilKill = 3*time.Second + 700*time.Millisecond
+
+// startChildHost starts a host that knows one brick, which hangs, and has no agent.
+func startChildHost(t *testing.T, log *standin.Log) *childHost {
 	t.Helper()
+	brick := &standin.Brick{Name: "hangs", Zone: "a"}
+	if err := brick.Start(log); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(brick.Stop)
+	brick.Take(time.Minute)
 	known := fmt.Sprintf(`"endpoints":[{"name":%q,"address":%q,"zone":"a","group":0,"status":"active","since_ms":0}]`, brick.Name, brick.Addr())
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // in place of the agent
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { silent.Close() })
-	replacements = append(replacements, `"endpoints":[]`, known, "127.0.0.1:2", silent.Addr().String(), "127.0.0.1:1", "127.0.0.1:0")
+	replacements := []string{`"endpoints":[]`, known, "127.0.0.1:2", silent.Addr().String(), "127.0.0.1:1", "127.0.0.1:0",
+		`"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, childHostPatience.Microseconds())}
 	path := t.TempDir() + "/config.json"
 	if err := os.WriteFile(path, []byte(configText(replacements...)), 0o600); err != nil {
 		t.Fatal(err)
@@ -124,14 +138,7 @@
 // closed the connections of the requests that it held without a response.
 func TestStopAnswersAfterAStall(t *testing.T) {
 	log := standin.NewLog()
-	brick := &standin.Brick{Name: "hangs", Zone: "a"}
-	if err := brick.Start(log); err != nil {
-		t.Fatal(err)
-	}
-	defer brick.Stop()
-	brick.Take(time.Minute)
-	const patience = 20 * time.Second // beyond the shutdown, which counts 3 s of it
-	h := startChildHost(t, brick, `"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, patience.Microseconds()))
+	h := startChildHost(t, log)
 
 	const clients = 8 // more than the brick is sent at once
 	answers := make(chan int, clients)
@@ -139,7 +146,7 @@
 		c := &standin.Client{Name: fmt.Sprintf("held%d-", n), Addr: func() string { return h.addr }, Log: log}
 		go func() {
 			defer c.Close()
-			answers <- c.Do(&standin.Request{Class: "fetch-text", Volume: 7, Piece: uint64(n), Plan: "basic", Units: 1, Hosts: 1, Wait: patience})
+			answers <- c.Do(&standin.Request{Class: "fetch-text", Volume: 7, Piece: uint64(n), Plan: "basic", Units: 1, Hosts: 1, Wait: childHostPatience})
 		}()
 	}
 	for !log.HasArrived("held") {
@@ -151,8 +158,8 @@
 	if got := h.line(); got != "stopping" {
 		t.Fatalf("%q, want stopping", got)
 	}
-	beyondExit := time.After(3*time.Second + 700*time.Millisecond) // when the platform may kill the host
-	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {       // 0.15 s before the last responses
+	beyondExit := time.After(untilKill)
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF { // 0.15 s before the last responses
 		t.Fatalf("the idle connection ended with %v, want a close", err)
 	}
 	h.signal(syscall.SIGSTOP)
@@ -173,24 +180,16 @@
 // killed.
 func TestStopCountsFromTheStartOfAStall(t *testing.T) {
 	log := standin.NewLog()
-	brick := &standin.Brick{Name: "hangs", Zone: "a"}
-	if err := brick.Start(log); err != nil {
-		t.Fatal(err)
-	}
-	defer brick.Stop()
-	brick.Take(time.Minute)
-	const patience = 20 * time.Second // beyond the shutdown, which counts 3 s of it
-	h := startChildHost(t, brick, `"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, patience.Microseconds()))
+	h := startChildHost(t, log)
 	answer := make(chan int, 1)
 	go func() {
 		c := &standin.Client{Name: "held-", Addr: func() string { return h.addr }, Log: log}
 		defer c.Close()
-		answer <- c.Do(&standin.Request{Class: "fetch-text", Volume: 7, Piece: 1, Plan: "basic", Units: 1, Hosts: 1, Wait: patience})
+		answer <- c.Do(&standin.Request{Class: "fetch-text", Volume: 7, Piece: 1, Plan: "basic", Units: 1, Hosts: 1, Wait: childHostPatience})
 	}()
 	for !log.HasArrived("held") {
 		time.Sleep(time.Millisecond)
 	}
-	const untilKill = 3*time.Second + 700*time.Millisecond
 	h.signal(syscall.SIGSTOP)
 	beyondKill := time.After(untilKill)
 	h.signal(syscall.SIGTERM)
--- a/internal/prove/objecthistory.go
+++ b/internal/prove/objecthistory.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -40,19 +42,8 @@
 
 // objectModel is a register for each object.
 var objectModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byPath := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			path := op.Input.(objectOperation).path
-			byPath[path] = append(byPath[path], op)
-		}
-		var parts [][]porcupine.Operation
-		for _, part := range byPath {
-			parts = append(parts, part)
-		}
-		return parts
-	},
-	Init: func() any { return absentObject },
+	Partition: partitionBy(func(op porcupine.Operation) string { return op.Input.(objectOperation).path }),
+	Init:      func() any { return absentObject },
 	Step: func(state, input, _ any) (bool, any) {
 		op := input.(objectOperation)
 		if op.write {
@@ -63,6 +54,17 @@
 	Equal: func(a, b any) bool { return a == b },
 }
 
+// partitionBy returns a function that divides a history by a key of its operations.
+func partitionBy[K comparable](key func(porcupine.Operation) K) func([]porcupine.Operation) [][]porcupine.Operation {
+	return func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[K][]porcupine.Operation{}
+		for _, op := range history {
+			byKey[key(op)] = append(byKey[key(op)], op)
+		}
+		return slices.Collect(maps.Values(byKey))
+	}
+}
+
 // newContent returns a new content of the given size and its value.
 func (h *objectHistory) newContent(size int) ([]byte, int64) {
 	h.mu.Lock()
--- a/internal/prove/rings.go
+++ b/internal/prove/rings.go
@@ -502,19 +502,8 @@
 }
 
 var registers = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		by := map[int64][]porcupine.Operation{}
-		for _, op := range history {
-			b := op.Input.(register).block
-			by[b] = append(by[b], op)
-		}
-		var out [][]porcupine.Operation
-		for _, list := range by {
-			out = append(out, list)
-		}
-		return out
-	},
-	Init: func() any { return uint64(0) },
+	Partition: partitionBy(func(op porcupine.Operation) int64 { return op.Input.(register).block }),
+	Init:      func() any { return uint64(0) },
 	Step: func(state, input, output any) (bool, any) {
 		in := input.(register)
 		if in.write {
