--- a/internal/prove/objects.go
+++ b/internal/prove/objects.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -406,18 +407,24 @@
 	if err := wait(ctx, objectSettle); err != nil {
 		return err
 	}
-	lost := r.readAll()
+	lost := r.readAll(r.gateways[0].target)
 	for _, p := range r.gateways {
 		if err := p.stop(2*objectDeadline + 10*time.Second); err != nil {
 			r.fault("%v", err)
 		}
 	}
 	sweepBegan := time.Now()
-	before, after, err := r.sweep(ctx)
+	sweeper, err := r.startSweeper()
+	if err != nil {
+		return err
+	}
+	defer sweeper.Stop(ctx)
+	before, after, err := r.awaitSweep(ctx)
 	if err != nil {
 		return err
 	}
 	swept := time.Since(sweepBegan)
+	lost = append(lost, r.readAll(&clients.Target{Addr: strings.TrimPrefix(sweeper.Endpoint(), "http://"), Signer: r.gateways[0].target.Signer})...)
 	var left []string
 	if after.unnamed > 0 || after.waiting > 0 {
 		left = append(left, fmt.Sprintf("%d pieces that no record names, %d entries of the trash and intents", after.unnamed, after.waiting))
@@ -428,7 +435,7 @@
 	rep.note("%d requests, %d operations of which %d have an unknown outcome; before the last sweep %d pieces named, %d not, after it %d and %d",
 		rep.Calls, operations, r.history.unknown, before.named, before.unnamed, after.named, after.unnamed)
 	rep.note("the last sweep took %s for %d entries of the trash and intents", swept.Round(time.Millisecond), before.waiting)
-	rep.add(lost, "claim each object can be read at the end: %d objects, %d broken", objectPaths, len(lost))
+	rep.add(lost, "claim each object can be read at the end, before and after the sweep: %d objects, %d broken", objectPaths, len(lost))
 	rep.add(r.history.foreign, "claim answers are whole contents that a client wrote: %d operations, %d broken", operations, len(r.history.foreign))
 	rep.add(order, "claim each object is a register: %d operations, %d broken", operations, len(order))
 	rep.add(left, "claim a sweep finds what no record names: %d pieces before it, %d broken", before.unnamed, len(left))
@@ -436,10 +443,10 @@
 	return nil
 }
 
-// readAll reads each object until the answer tells whether it exists, and returns
-// those that cannot be read.
-func (r *objectsRun) readAll() (lost []string) {
-	c := &clients.Client{Name: "reader", Target: r.gateways[0].target, Log: &clients.Log{}}
+// readAll reads each object through a gateway until the answer tells whether it exists,
+// and returns those that cannot be read.
+func (r *objectsRun) readAll(target *clients.Target) (lost []string) {
+	c := &clients.Client{Name: "reader", Target: target, Log: &clients.Log{}}
 	defer c.Close()
 	const tries = 5
 	for i := range objectPaths {
@@ -459,9 +466,15 @@
 	return lost
 }
 
-// sweep has a gateway in this process delete what no record names, and returns the
-// counts of pieces before and after.
-func (r *objectsRun) sweep(ctx context.Context) (before, after ownership, err error) {
+// startSweeper starts a gateway in this process that soon deletes what no record names.
+func (r *objectsRun) startSweeper() (*gateway.Gateway, error) {
+	return gateway.Start(gateway.Options{Config: r.config(0), DataDir: filepath.Join(r.dir, "sweeper"), Log: slog.New(slog.DiscardHandler), DisabledGuard: r.opt.Guard,
+		Reclaim: s3.ReclaimTimes{SweepInterval: 50 * time.Millisecond, TrashGrace: time.Millisecond, IntentLease: time.Millisecond}})
+}
+
+// awaitSweep waits until the sweeper has nothing left to do, for a bounded time. It
+// returns the counts of pieces before and after.
+func (r *objectsRun) awaitSweep(ctx context.Context) (before, after ownership, err error) {
 	var stores []*store.Store
 	for _, b := range r.bricks {
 		stores = append(stores, b.blobs)
@@ -469,13 +482,6 @@
 	if before, err = countPieces(stores); err != nil {
 		return before, after, err
 	}
-	cfg := r.config(0)
-	g, err := gateway.Start(gateway.Options{Config: cfg, DataDir: filepath.Join(r.dir, "sweeper"), Log: slog.New(slog.DiscardHandler), DisabledGuard: r.opt.Guard,
-		Reclaim: s3.ReclaimTimes{SweepInterval: 50 * time.Millisecond, TrashGrace: time.Millisecond, IntentLease: time.Millisecond}})
-	if err != nil {
-		return before, after, err
-	}
-	defer g.Stop(ctx)
 	for began := time.Now(); time.Since(began) < objectSweepTime; {
 		if after, err = countPieces(stores); err != nil || after.unnamed+after.waiting == 0 {
 			return before, after, err
