--- a/internal/front/s3/gc.go
+++ b/internal/front/s3/gc.go
@@ -52,7 +52,6 @@
 	queue        chan reclamation
 	abandoned    atomic.Uint64 // reclamations left to a sweep
 	deletedBlobs atomic.Uint64 // blobs deleted
-	swept        atomic.Uint64 // reclamations that a sweep began
 	quit         chan struct{}
 	quitOnce     sync.Once
 	stopped      chan struct{}
@@ -349,8 +348,9 @@
 				gc.server.log.Warn("invalid entry of unused data", "shard", shard, "space", space, "name", list.After, "error", err)
 				continue
 			}
-			gc.swept.Add(1)
-			gc.reclaimWithRetries(r)
+			if err := gc.reclaim(gc.newExchange(r.volume), &r); err != nil {
+				return err // the next sweep tries again; queued reclamations do not wait for a shard that is down
+			}
 			if swept++; swept == maxSweptPerShard || gc.isStopping() {
 				return nil
 			}
