Host: a stall after a brick's response is not counted as the brick's latency

What callers saw: after a stall of 4 s a busy gateway now and then refused all that it held (195 of 198 requests with 503) and sent nothing to any brick for about a second.

Cause: the latency of an answered attempt runs to the attempt's end, and only the time for which the head lay in its socket was left out. A process stopped between the head and the end charged the whole stall to the brick; seven such samples of 4.0 s made the queue delay 3.9 s, longer than any aim, and requests waited for it until they were given up.

Change: an attempt's result says when its head was read; stalled time after it is left out too, a stall that no heartbeat has ended yet included. The same for the platform's host and for the observations of bricks.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -125,16 +125,19 @@
 	}
 	c.Node = a.Member
 	req, s := c.requestFor(a), c.sender
-	start, socketDelay := time.Now(), time.Duration(0)
+	start := time.Now()
+	var headReadAt time.Time
+	var socketDelay time.Duration
 	err := s.Pool.Do(&c.attempt.Attempt, a.Member.Address, &req, &c.Response)
 	if err == nil {
+		headReadAt = time.Now()
 		socketDelay = s.Host.SocketDelay(c.Response.Raw, start, s.MaxTimeout())
 		err = c.readBody()
 	}
 	r := c.attemptResult(err)
-	r.SocketDelay = socketDelay
+	r.SocketDelay, r.HeadReadAt = socketDelay, headReadAt
 	if s.Observe != nil {
-		s.Observe(c.observation(&req, time.Since(start)-socketDelay, err == nil))
+		s.Observe(c.observation(&req, s.Host.BrickLatency(start, time.Now(), &r), err == nil))
 	}
 	return r
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -236,10 +236,7 @@
 			t.ended.Store(true)
 		}
 		h.stats.statuses[r.Status].Add(1)
-		if r.Status != arrowwalk.OK {
-			r.SocketDelay = h.stalledSince(start)
-		}
-		latency := time.Since(start) - r.SocketDelay
+		latency := h.BrickLatency(start, time.Now(), &r)
 		h.post(message{task: t, event: &arrowwalk.Outcome{
 			Attempt: arrowwalk.Attempt{Request: t.request.ID, Number: s.number, Node: s.member.ID},
 			Status:  r.Status, Latency: arrowwalk.Micros(latency.Microseconds()), Closed: r.Final,
@@ -252,6 +249,16 @@
 	return TaskResult{Status: Failed, Attempts: attempts}
 }
 
+// BrickLatency returns how long an attempt that ran from start to end took, without
+// the time in which this process was stalled while the response, or what followed
+// its head, waited. The brick is not charged for that time.
+func (h *Host) BrickLatency(start, end time.Time, r *AttemptResult) time.Duration {
+	if r.Status != arrowwalk.OK || r.HeadReadAt.IsZero() {
+		return max(0, end.Sub(start)-h.StalledBetween(start, end))
+	}
+	return max(0, end.Sub(start)-r.SocketDelay-h.StalledBetween(r.HeadReadAt, end))
+}
+
 func (h *Host) runAttempt(t *Task, s signal) AttemptResult {
 	if t.ended.Load() || !time.Now().Before(s.deadline) { // the task ended before the attempt began, or ends now
 		return AttemptResult{Status: arrowwalk.NotSent}
--- a/internal/host/stall.go
+++ b/internal/host/stall.go
@@ -276,16 +276,23 @@
 	return max(0, min(now.Sub(arrival), now.Sub(sent)))
 }
 
-// stalledSince returns how much of the time since start the process was stalled.
-// A brick that gave no response is not charged for that part.
-func (h *Host) stalledSince(start time.Time) time.Duration {
-	if h.stalls.lastStallEnd.Load() <= h.startMicros+h.microsSinceStart(start) {
+// StalledBetween returns how much of the time from start to end, which is not in the
+// future, the process was stalled. A stall that no heartbeat has ended yet counts.
+// If there was no stall, it costs two atomic loads.
+func (h *Host) StalledBetween(start, end time.Time) time.Duration {
+	from, to := h.startMicros+h.microsSinceStart(start), h.startMicros+h.microsSinceStart(end)
+	// Loaded first: a goroutine that sees the new deadline must also see the stall that set it.
+	due := h.stalls.heartbeatDue.Load()
+	if to <= due && h.stalls.lastStallEnd.Load() <= from {
 		return 0
 	}
 	h.stalls.mu.Lock()
 	defer h.stalls.mu.Unlock()
-	from := h.startMicros + h.microsSinceStart(start)
-	return time.Duration(h.stalls.detector.StalledTime(from, int64(h.moduleTime()))) * time.Microsecond
+	stalled := h.stalls.detector.StalledTime(from, to)
+	if current, ok := h.stalls.detector.Current(to); ok {
+		stalled += current.Overlap(from, to)
+	}
+	return time.Duration(stalled) * time.Microsecond
 }
 
 func (h *Host) microsSinceStart(t time.Time) int64 { return t.Sub(h.startTime).Microseconds() }
--- a/internal/host/stall_test.go
+++ b/internal/host/stall_test.go
@@ -84,3 +84,48 @@
 		h.Close()
 	}
 }
+
+// stallingRunner gets a response and is then stalled before the attempt ends.
+type stallingRunner struct {
+	host   *Host
+	length time.Duration
+}
+
+func (r *stallingRunner) Try(*Attempt) AttemptResult {
+	headReadAt := time.Now()
+	stallHost(r.host, r.length)
+	r.host.Heartbeat() // the module's first step after the stall is over before the outcome is posted
+	return AttemptResult{Status: arrowwalk.OK, Final: true, HeadReadAt: headReadAt}
+}
+
+func (r *stallingRunner) Abort(int) {}
+
+// A brick that has answered is not charged for a stall of the host between its
+// answer and the end of the attempt.
+func TestStallAfterTheResponseIsNotCharged(t *testing.T) {
+	h, err := New(Options{Settings: settings()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	h.Nodes(arrowwalk.ListSnapshot, 1, []Member{{Node: arrowwalk.Node{ID: "a"}, Address: "x"}})
+	const length = 600 * time.Millisecond
+	// The module learns the usual latency from a response that comes at once.
+	quick := &Task{Volume: arrowwalk.Volume{ID: 1, Hosts: 1}, Units: 1, Deadline: time.Now().Add(length),
+		Runner: &runner{results: []AttemptResult{{Status: arrowwalk.OK, Final: true}}}}
+	if result := h.Do(quick); result.Status != Served {
+		t.Fatalf("the first request ended with %+v", result)
+	}
+	task := &Task{Volume: arrowwalk.Volume{ID: 1, Hosts: 1}, Units: 1, Deadline: time.Now().Add(10 * length), Runner: &stallingRunner{h, length}}
+	if result := h.Do(task); result.Status != Served {
+		t.Fatalf("the request ended with %+v", result)
+	}
+	nodes := h.Snapshot().Nodes
+	if len(nodes) != 1 {
+		t.Fatalf("%d nodes, want 1", len(nodes))
+	}
+	// The process may have run for up to a heartbeat and its usual lateness within the time.
+	if delay := time.Duration(nodes[0].QueueDelay) * time.Microsecond; delay > length/10 {
+		t.Errorf("after a stall of %s the brick's queue delay is %s", length, delay)
+	}
+}
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -29,7 +29,8 @@
 	FleetUse        float64       // 1 + percent of the plan's rate that all bricks served together; 0 if the brick did not report it
 	OtherHostsUnits float64       // units that the brick served for the volume through other hosts and had not reported yet
 	Load            []float64     // values of the brick's load report, in the order of Settings.Reports; nil if it sent none
-	SocketDelay     time.Duration // how long the response waited in its socket because the process was stalled
+	SocketDelay     time.Duration // how long the response's head waited in its socket because the process was stalled
+	HeadReadAt      time.Time     // when the response's head was read; zero if there was none
 }
 
 // Runner makes the attempts of a task. Try is called on Do's goroutine,
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -174,6 +174,7 @@
 		return host.AttemptResult{Status: c.failureStatus(err)}, false
 	}
 	r = c.parseResult(&head)
+	r.HeadReadAt = time.Now()
 	r.SocketDelay = c.sender.opt.Host.SocketDelay(nc.RawConn, started, c.sender.opt.MaxClientWait)
 	if r.Status == arrowwalk.OK {
 		r.Final = true
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -101,8 +101,15 @@
 	return 0, false
 }
 
+// Current returns the stall in progress, with now as its end. It returns false if
+// there is none.
+func (d *Detector) Current(now int64) (Stall, bool) {
+	return Stall{d.lastHeartbeat, now}, d.IsStalled(now)
+}
+
 // StalledTime returns how much of the span from..to the process was stalled and
-// could not observe the events that it waited for.
+// could not observe the events that it waited for. Only stalls that have ended
+// count.
 func (d *Detector) StalledTime(from, to int64) int64 {
 	var sum int64
 	for _, s := range d.recent {
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -67,6 +67,12 @@
 	if from, ok := d.EarliestRecentStall(910*ms, 100*ms); !ok || from != 520*ms {
 		t.Errorf("the second alone: %d %v", from, ok)
 	}
+	if current, ok := d.Current(2000 * ms); !ok || current.Overlap(1000*ms, 1500*ms) != 500*ms {
+		t.Errorf("1.1 s without a heartbeat: stall %+v, %v", current, ok)
+	}
+	if _, ok := d.Current(910 * ms); ok {
+		t.Error("a stall is in progress 10 ms after a heartbeat")
+	}
 	for _, c := range [][3]int64{{0, 2000, 880}, {100, 400, 300}, {510, 515, 0}, {505, 600, 80}, {900, 950, 0}} {
 		if got := d.StalledTime(c[0]*ms, c[1]*ms); got != c[2]*ms {
 			t.Errorf("from %d to %d ms: stalled for %d us", c[0], c[1], got)
