Requests with one key run in order of arrival, also after a stall of the host

The object API did the same with writes of one object.

Cause: each connection's goroutine reads its request and hands it to the host, and the order in which they ran was taken for the order of arrival. After a stall many are ready at once and run in the order of the runtime's queue. The kernel's arrival time was used for the deadline alone.

Change: if no heartbeat came for 40 ms, requests of ordered classes are held until every connection and listener that may have received one has been read, 200 ms at most, and then queued for the module in order of arrival (internal/arrivalorder decides, without a clock). A connection leaves the wait when its request is handed over, when a read finds the socket empty, or when it is closed. A request whose deadline comes first is refused unsent; requests without order do not wait. Hosts without an ordered class do nothing new.

Found on the way, each by a red run of the new test, traced: the listener was not known before its goroutine ran; a fresh connection was taken for read; the stall detector's learned lateness (up to 320 ms on a busy machine) hid a stall of 200 ms.

--- a/cmd/arrowwalk/stalled_stop_test.go
+++ b/cmd/arrowwalk/stalled_stop_test.go
@@ -59,11 +59,19 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { silent.Close() })
+	return startServeProcess(ctx, t, silent.Addr().String())
+}
+
+// startServeProcess starts a gateway as a process that knows one brick. Writes of one
+// object run in order.
+func startServeProcess(ctx context.Context, t *testing.T, brickAddr string) *stalledServe {
+	t.Helper()
 	s := &stalledServe{t: t, dir: t.TempDir()}
 	class := fmt.Sprintf(`{"aim_ms":500,"deadline_ms":%d}`, stalledServeDeadline.Milliseconds())
+	orderedClass := strings.TrimSuffix(class, "}") + `,"ordered":true}`
 	settings := fmt.Sprintf(`{"listen":"127.0.0.1:0","shards":1,"keys":[{"access_key":"TEST","secret_key":"test-secret"}],
  "collections":[{"bucket":"papers","plan":"basic"}],"classes":{"read":%s,"write":%s},
- "bricks":[{"name":"b","address":%q,"zone":"zone-a","shard":0}]}`, class, class, silent.Addr())
+ "bricks":[{"name":"b","address":%q,"zone":"zone-a","shard":0}]}`, class, orderedClass, brickAddr)
 	path, readyFile := filepath.Join(s.dir, "settings.json"), filepath.Join(s.dir, "ready.json")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/front/s3/body.go
+++ b/internal/front/s3/body.go
@@ -190,6 +190,9 @@
 	}
 	x.conn.netConn.SetReadDeadline(startedAt.Add(config.MS(x.server.cfg.Timeouts.BodyStallMS)))
 	n, err := x.conn.body.Read(p)
+	if x.conn.body.Done() {
+		x.arrivedAt = x.server.opts.Host.ArrivalTime(x.conn.rawConn)
+	}
 	waited := time.Since(startedAt)
 	if arrival, ok := x.arrivalAfterStall(n, waited); ok { // the host was stalled during the read
 		if arrival.After(x.waitStart) {
--- a/internal/front/s3/calls.go
+++ b/internal/front/s3/calls.go
@@ -36,6 +36,8 @@
 	call.Task = host.Task{Class: call.class, Volume: x.volume, Units: call.units, Shard: call.shard, Deadline: x.deadline(call.class), IsRetry: x.isRetry, ReportsResponse: x.hasClient}
 	if call.class == config.ClassWrite && call.Request.Space == brick.SpaceObjects && x.server.cfg.Classes.Write.Ordered {
 		call.Task.HasKey, call.Task.Key = true, placement.Hash(call.Request.Name)
+		call.Task.ArrivedAt = x.arrivedAt
+		x.conn.source.BeginTask(&call.Task)
 	}
 	call.Prepare(&x.server.sender)
 	if !x.conn.addTask(&call.Task) {
--- a/internal/front/s3/conn.go
+++ b/internal/front/s3/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arrowwalk/internal/config"
+	"arrowwalk/internal/connsource"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/sockstate"
@@ -25,7 +26,8 @@
 	req      http1.Request
 	body     http1.Body
 
-	socketEmptyAt time.Time // when the socket was last seen empty, approximately
+	source        *connsource.Conn // nil if no class is ordered
+	socketEmptyAt time.Time        // when the socket was last seen empty, approximately
 
 	mu             sync.Mutex
 	idle           bool
@@ -44,6 +46,7 @@
 	defer func() {
 		c.releaseBuffers()
 		c.netConn.Close()
+		c.source.Close()
 		c.server.mu.Lock()
 		delete(c.server.conns, c)
 		c.server.mu.Unlock()
@@ -68,7 +71,9 @@
 // waitForRequest waits for the first byte of a request. An idle connection
 // holds no buffers. It returns false if the connection is to be closed.
 func (c *conn) waitForRequest() bool {
-	if c.reader != nil && c.reader.Buffered() > 0 {
+	buffered := c.reader != nil && c.reader.Buffered() > 0
+	c.source.NextRequest(buffered)
+	if buffered {
 		return !c.server.closing.Load()
 	}
 	c.socketEmptyAt = time.Now()
@@ -91,7 +96,7 @@
 	c.mu.Unlock()
 	if c.reader == nil {
 		c.reader = readerPool.Get().(*bufio.Reader)
-		c.reader.Reset(stallTolerantReader{c})
+		c.reader.Reset(stallTolerantReader{c, c.input()})
 	}
 	return true
 }
@@ -128,7 +133,18 @@
 // although bytes are available, the host was stalled or busy and did not read
 // in time; the reader then tries again instead of reporting a timeout of the
 // client.
-type stallTolerantReader struct{ conn *conn }
+type stallTolerantReader struct {
+	conn  *conn
+	input io.Reader
+}
+
+// input returns what the connection's requests are read from.
+func (c *conn) input() io.Reader {
+	if c.source == nil {
+		return c.netConn
+	}
+	return c.source.Reader(c.netConn)
+}
 
 // lateReadTimeout bounds the second read after a deadline that passed while
 // bytes were available.
@@ -136,12 +152,12 @@
 
 // Read implements io.Reader.
 func (r stallTolerantReader) Read(b []byte) (int, error) {
-	n, err := r.conn.netConn.Read(b)
+	n, err := r.input.Read(b)
 	if n > 0 || !isTimeout(err) || r.conn.rawConn == nil || r.conn.server.closing.Load() || !sockstate.Readable(r.conn.rawConn) {
 		return n, err
 	}
 	r.conn.netConn.SetReadDeadline(time.Now().Add(lateReadTimeout))
-	return r.conn.netConn.Read(b)
+	return r.input.Read(b)
 }
 
 // hasUnreadData reports whether data has arrived that was not read yet.
@@ -284,6 +300,7 @@
 // sends, within bounds, so that closing does not reset the connection before
 // the client has read the response.
 func (c *conn) lingeringClose() {
+	c.source.FinishRequest()
 	if c.body.Done() && c.reader.Buffered() == 0 {
 		return
 	}
--- a/internal/front/s3/exchange.go
+++ b/internal/front/s3/exchange.go
@@ -49,6 +49,8 @@
 	lateTasks         []*host.Task
 
 	bytesSinceMark int64
+
+	arrivedAt time.Time // when the last bytes of the request that were read arrived
 }
 
 // headerClientTimeout is the request header with which a client shortens the
@@ -90,6 +92,7 @@
 // the longest time that a client waits.
 func (x *exchange) recordHeadArrival() {
 	x.hasClient = true
+	x.arrivedAt = x.server.opts.Host.ArrivalTime(x.conn.rawConn)
 	if arrival, ok := x.arrivalAfterStall(0, x.server.maxClientWait); ok {
 		x.waitStart = arrival
 	}
--- a/internal/front/s3/route.go
+++ b/internal/front/s3/route.go
@@ -60,9 +60,20 @@
 	return errMethodNotAllowed
 }
 
+// isOrdered reports whether the request may write an object's record, so that it has a
+// place in the order of the requests for the object.
+func (x *exchange) isOrdered() bool {
+	_, isPart := x.query.Lookup("partNumber")
+	method := x.conn.req.Method
+	return method != "GET" && method != "HEAD" && !isPart
+}
+
 // routeObject calls the handler of a request for an object or a multipart
 // upload.
 func (x *exchange) routeObject() error {
+	if !x.isOrdered() {
+		x.conn.source.FinishRequest()
+	}
 	uploadID, isUpload := x.query.Lookup("uploadId")
 	_, startsUpload := x.query.Lookup("uploads")
 	_, isPart := x.query.Lookup("partNumber")
--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -13,6 +13,7 @@
 	"arrowwalk/internal/attempts"
 	"arrowwalk/internal/brick"
 	"arrowwalk/internal/config"
+	"arrowwalk/internal/connsource"
 	"arrowwalk/internal/front/s3/sigv4"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
@@ -59,6 +60,7 @@
 	cfg           *config.Config
 	log           *slog.Logger
 	listener      *netdrain.Listener
+	source        *connsource.Listener
 	verifier      *sigv4.Verifier
 	shards        *placement.Map
 	sizeEstimator *sizing.Estimator
@@ -131,6 +133,7 @@
 	s.maxClientWait = s.sender.MaxTimeout()
 	s.buckets.init(cfg)
 	s.gc = startGarbageCollector(s)
+	s.source = connsource.NewListener(opts.Host, tcpListener)
 	s.wg.Add(2)
 	go s.acceptLoop()
 	go s.watchClients()
@@ -192,7 +195,9 @@
 func (s *Server) acceptLoop() {
 	defer s.wg.Done()
 	defer close(s.acceptDone)
+	defer s.source.Close()
 	for {
+		s.source.BeforeAccept()
 		netConn, err := s.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
@@ -225,6 +230,7 @@
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	c.source = connsource.New(s.opts.Host, c.rawConn)
 	s.wg.Add(1)
 	go c.serve()
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -35,6 +35,7 @@
 	timer  *time.Timer   // expires when the Engine has to be stepped
 
 	stalls        *stallGuard
+	arrivals      arrivals
 	heartbeatDone sync.WaitGroup
 	afterStall    bool // the current step is the first one after a stall
 
@@ -88,6 +89,7 @@
 	h.timer = time.NewTimer(0)
 	h.loop = loop{engine: engine, tasks: map[arrowwalk.RequestID]*Task{}, members: map[arrowwalk.NodeID]Member{}}
 	h.stalls = newStallGuard(h.moduleTime())
+	h.arrivals.init(&h.opt.Settings, h.moduleTime())
 	h.heartbeatDone.Add(1)
 	go h.runLoop()
 	go h.runHeartbeat()
@@ -127,14 +129,22 @@
 // which saves two goroutine switches on a request's path. Otherwise the owner
 // includes the messages in its next step, batched with those of other callers.
 func (h *Host) post(messages ...message) bool {
+	if !h.enqueue(messages...) {
+		return false
+	}
+	h.stepPending()
+	return true
+}
+
+// enqueue queues messages without stepping the module. It returns false if the host is
+// closed.
+func (h *Host) enqueue(messages ...message) bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.closed {
-		h.mu.Unlock()
 		return false
 	}
 	h.inbox = append(h.inbox, messages...)
-	h.mu.Unlock()
-	h.stepPending()
 	return true
 }
 
@@ -207,9 +217,8 @@
 		Units: t.Units, Shard: t.Shard, IsRetry: t.IsRetry,
 	}
 	h.stats.accepted.Add(1)
-	result := TaskResult{Status: Failed}
-	if h.post(message{event: &t.request, task: t}) {
-		t.submitted.Store(true)
+	result, ok := h.submit(t)
+	if ok {
 		result = h.runAttempts(t)
 	}
 	h.stats.ended[result.Status].Add(1)
@@ -285,6 +294,7 @@
 // Shutdown makes every task end by a time, including tasks that are submitted
 // later.
 func (h *Host) Shutdown(by time.Time) {
+	h.arrivals.shutdownBy.Store(&by)
 	h.post(message{event: &arrowwalk.Shutdown{At: arrowwalk.Micros(h.startMicros + h.microsSinceStart(by))}})
 }
 
--- a/internal/host/stall.go
+++ b/internal/host/stall.go
@@ -123,7 +123,9 @@
 		case <-h.quit:
 			return
 		case <-tick.C:
-			h.endStall(h.moduleTime())
+			now := h.moduleTime()
+			h.recordRun(now)
+			h.endStall(now)
 		}
 	}
 }
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -56,9 +56,14 @@
 	ClientRequestID string // ID of the client's request, shown in Snapshot
 	OutlivesClient  bool   // a running attempt continues after the client has disconnected, so that the module learns its outcome
 	ReportsResponse bool   // the frontend calls ResponseSent once the response is written
+	// ArrivedAt is when the request's last byte arrived, by which tasks of ordered
+	// classes are submitted after a stall; zero: when Do is called.
+	ArrivedAt       time.Time
+	Source          Source // that the request came from; nil: none that the host knows
 	request         arrowwalk.Request
 	signals         chan signal
 	submitted       atomic.Bool // the request was queued for the module
+	handedOver      atomic.Bool // the request is submitted or held: its place in the order is known
 	ended           atomic.Bool // the task has its final result; no further attempt is made
 	runningAttempt  int         // number of the running attempt, -1 if none; owned by the loop
 	attempts        int         // attempts so far; owned by the loop
@@ -68,6 +73,10 @@
 	cappedDeadline  time.Time // Deadline, or the host's shutdown time if that is earlier; owned by the loop
 }
 
+// HandedOver reports whether the Host has the task, so that its Source does not hold the
+// request any more.
+func (t *Task) HandedOver() bool { return t.handedOver.Load() }
+
 // EndedAfterStall reports whether the task was refused or failed in the first
 // step after a stall of the process. If so, the frontend calls ResponseSent.
 func (t *Task) EndedAfterStall() bool { return t.endedAfterStall.Load() }
--- a/internal/platform/frontend/conn.go
+++ b/internal/platform/frontend/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"arrowwalk/internal/connsource"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/platform/eviction"
@@ -29,7 +30,8 @@
 	body     http1.Body
 	writeBuf []byte
 	entry    *eviction.Entry[*conn]
-	requests int // handed to the host so far
+	source   *connsource.Conn // nil if no class is ordered
+	requests int              // handed to the host so far
 
 	mu        sync.Mutex
 	task      *host.Task // in progress at the host; nil if there is none
@@ -53,6 +55,7 @@
 func (c *conn) teardown() {
 	c.releaseBuffers()
 	c.nc.Close()
+	c.source.Close()
 	c.server.mu.Lock()
 	c.server.table.Remove(c.entry)
 	c.server.mu.Unlock()
@@ -92,7 +95,9 @@
 // awaitRequest waits for the first byte of a request without holding a buffer. It
 // returns false if the connection ends instead.
 func (c *conn) awaitRequest(first bool) bool {
-	if c.reader != nil && c.reader.Buffered() > 0 {
+	buffered := c.reader != nil && c.reader.Buffered() > 0
+	c.source.NextRequest(buffered)
+	if buffered {
 		return c.startReading()
 	}
 	c.releaseBuffers()
@@ -117,10 +122,18 @@
 		c.nc.SetReadDeadline(time.Now().Add(lateReadTimeout))
 	}
 	c.reader = readers.Get().(*bufio.Reader)
-	c.reader.Reset(c.nc)
+	c.reader.Reset(c.input())
 	return true
 }
 
+// input returns what the connection's requests are read from.
+func (c *conn) input() io.Reader {
+	if c.source == nil {
+		return c.nc
+	}
+	return c.source.Reader(c.nc)
+}
+
 // startReading begins a request other than the first and sets its read deadline.
 func (c *conn) startReading() bool {
 	if !c.setState(eviction.StateReading) {
@@ -200,16 +213,22 @@
 const maxArrivalAge = 10 * time.Second
 
 // arrivalTime returns when the last byte of the request arrived, which may be
-// earlier than when it was read.
-func (c *conn) arrivalTime() time.Time {
+// earlier than when it was read: reliable, for its deadline, and as exactly as the
+// kernel tells, for its place among requests with the same key.
+func (c *conn) arrivalTime() (reliable, exact time.Time) {
 	now := time.Now()
 	if c.server.opt.NoArrivalAge {
-		return now
+		return now, now
+	}
+	age, ok := tcpinfo.LastReceiveAge(c.raw)
+	if !ok || age >= maxArrivalAge {
+		return now, now
 	}
-	if age, ok := tcpinfo.LastReceiveAge(c.raw); ok && age >= tcpinfo.MinReliableAge && age < maxArrivalAge {
-		return now.Add(-age)
+	exact = now.Add(-age)
+	if age < tcpinfo.MinReliableAge {
+		return now, exact
 	}
-	return now
+	return exact, exact
 }
 
 // exchange holds the state of one request until its response.
@@ -224,8 +243,10 @@
 	x := &exchange{call: upstream.Call{Method: c.req.Method, Target: c.req.Target, ID: p.id, Key: p.key, Body: body}}
 	x.call.Init(c.server.opt.Sender)
 	x.call.ClientGone = c.checkDisconnect
+	waitsSince, arrivedAt := c.arrivalTime()
 	x.task = host.Task{Class: p.class, Volume: p.volume, Key: p.piece, HasKey: true, Units: p.units, Shard: p.shard,
-		Deadline: c.arrivalTime().Add(p.timeout), IsRetry: p.retried, Runner: &x.call, ClientRequestID: p.id, OutlivesClient: true, ReportsResponse: true}
+		ArrivedAt: arrivedAt, Deadline: waitsSince.Add(p.timeout), IsRetry: p.retried, Runner: &x.call, ClientRequestID: p.id, OutlivesClient: true, ReportsResponse: true}
+	c.source.BeginTask(&x.task)
 	c.requests++
 	c.server.stats.requests.Add(1)
 	if !c.beginTask(x) {
@@ -382,6 +403,7 @@
 // would reset the connection and could destroy the last response. The caller
 // closes the connection afterwards.
 func (c *conn) lingeringClose() {
+	c.source.FinishRequest()
 	if !c.setState(eviction.StateClosing) {
 		return
 	}
--- a/internal/platform/frontend/server.go
+++ b/internal/platform/frontend/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"arrowwalk"
+	"arrowwalk/internal/connsource"
 	"arrowwalk/internal/host"
 	"arrowwalk/internal/http1"
 	"arrowwalk/internal/platform/eviction"
@@ -62,6 +63,7 @@
 type Server struct {
 	opt           Options
 	ln            net.Listener
+	source        *connsource.Listener
 	validator     *validator
 	headLimits    http1.Limits
 	requestIDs    requestIDs
@@ -120,6 +122,7 @@
 	}
 	s.headLimits, s.bodyMemory.Max = headLimits, opt.MaxBodyBytes
 	s.headLimits.AcceptDoubleFraming = opt.AcceptDoubleFraming
+	s.source = connsource.NewListener(opt.Host, ln)
 	s.wg.Add(2)
 	go s.acceptLoop()
 	go s.monitorConns()
@@ -136,7 +139,9 @@
 func (s *Server) acceptLoop() {
 	defer s.wg.Done()
 	defer close(s.acceptDone)
+	defer s.source.Close()
 	for {
+		s.source.BeforeAccept()
 		if s.listenerClosing.Load() {
 			s.setAcceptDeadline(time.Now().Add(finalAcceptTimeout))
 		}
@@ -192,6 +197,7 @@
 	c.entry = s.table.Add(c, s.now())
 	s.wg.Add(1)
 	s.mu.Unlock()
+	c.source = connsource.New(s.opt.Host, c.raw)
 	go c.serve()
 }
 
--- a/internal/platform/stalled_stop_test.go
+++ b/internal/platform/stalled_stop_test.go
@@ -65,12 +65,19 @@
 // startChildHost starts a host that knows one brick, which hangs, and has no agent.
 func startChildHost(t *testing.T, log *standin.Log) *childHost {
 	t.Helper()
-	brick := &standin.Brick{Name: "hangs", Zone: "a"}
+	return startChildHostWithBrick(t, log, time.Minute)
+}
+
+// startChildHostWithBrick starts a host that knows one brick, which takes latency for a
+// request, and has no agent. The replacements are made in its configuration.
+func startChildHostWithBrick(t *testing.T, log *standin.Log, latency time.Duration, more ...string) *childHost {
+	t.Helper()
+	brick := &standin.Brick{Name: "only", Zone: "a"}
 	if err := brick.Start(log); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(brick.Stop)
-	brick.Take(time.Minute)
+	brick.Take(latency)
 	known := fmt.Sprintf(`"endpoints":[{"name":%q,"address":%q,"zone":"a","group":0,"status":"active","since_ms":0}]`, brick.Name, brick.Addr())
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // in place of the agent
 	if err != nil {
@@ -80,7 +87,7 @@
 	replacements := []string{`"endpoints":[]`, known, "127.0.0.1:2", silent.Addr().String(), "127.0.0.1:1", "127.0.0.1:0",
 		`"aimUs":400000,"deadlineUs":2500000`, fmt.Sprintf(`"aimUs":15000000,"deadlineUs":%d`, childHostPatience.Microseconds())}
 	path := t.TempDir() + "/config.json"
-	if err := os.WriteFile(path, []byte(configText(replacements...)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(configText(append(replacements, more...)...)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	h := &childHost{t: t, cmd: exec.Command(os.Args[0])}
