After a stall the node list is read before anything is sent

Cause: the list lay in the agent's socket when the host went on. The module was stepped and clients were read first, and attempts decided before the stall were sent as decided.

An attempt that was decided before the stall asks again whether its node takes requests, at its begin and right before it is written. A watch whose time passed in the stall is read once more if data has arrived.

--- a/internal/connsource/connsource.go
+++ b/internal/connsource/connsource.go
@@ -1,5 +1,5 @@
-// Package connsource tells the host which client connections may hold a request that
-// has arrived and was not handed over, so that requests found after a stall can be
+// Package connsource tells the host which connections may hold data that has arrived and
+// was not handed over, so that after a stall node lists are read first and requests are
 // submitted in order of arrival.
 package connsource
 
@@ -21,11 +21,12 @@
 	phaseFinished              // no request of an ordered class will be handed over
 )
 
-// Conn is the host.Source of a client connection. A nil *Conn is valid and does
-// nothing. Its methods are safe for concurrent use.
+// Conn is the host.Source of a connection. A nil *Conn is valid and does nothing. Its
+// methods are safe for concurrent use.
 type Conn struct {
 	host  *host.Host
 	raw   syscall.RawConn
+	lists bool // node lists arrive on it, not requests
 	phase atomic.Int32
 	task  atomic.Pointer[host.Task] // of the current request, in an ordered class
 }
@@ -42,8 +43,19 @@
 	return c
 }
 
-// MayHoldRequest implements host.Source.
-func (c *Conn) MayHoldRequest() bool {
+// NewList makes a connection known to the host on which node lists arrive. It returns
+// nil if the connection has no descriptor. Call Close in the end.
+func NewList(h *host.Host, raw syscall.RawConn) *Conn {
+	if raw == nil {
+		return nil
+	}
+	c := &Conn{host: h, raw: raw, lists: true}
+	h.AddListSource(c)
+	return c
+}
+
+// MayHoldData implements host.Source.
+func (c *Conn) MayHoldData() bool {
 	switch phase(c.phase.Load()) {
 	case phaseWaiting:
 		return sockstate.Readable(c.raw)
@@ -62,10 +74,14 @@
 // BeginRead implements sockstate.ReadNotifier.
 func (c *Conn) BeginRead() { c.phase.CompareAndSwap(int32(phaseWaiting), int32(phaseReading)) }
 
-// BeginWait implements sockstate.ReadNotifier: the current request has not arrived
-// completely.
+// BeginWait implements sockstate.ReadNotifier: everything that has arrived was read, and
+// the current request or list is not complete.
 func (c *Conn) BeginWait() {
-	if c.phase.CompareAndSwap(int32(phaseReading), int32(phaseWaiting)) {
+	switch {
+	case !c.phase.CompareAndSwap(int32(phaseReading), int32(phaseWaiting)):
+	case c.lists:
+		c.host.ListSourceRead(c)
+	default:
 		c.host.SourceRead(c)
 	}
 }
@@ -101,14 +117,18 @@
 		next = phaseReading
 	}
 	c.phase.Store(int32(next))
-	if c.host.CollectsArrivals() && !c.MayHoldRequest() {
+	if c.host.CollectsArrivals() && !c.MayHoldData() {
 		c.host.SourceRead(c)
 	}
 }
 
 // Close forgets the connection.
 func (c *Conn) Close() {
-	if c != nil {
+	switch {
+	case c == nil:
+	case c.lists:
+		c.host.RemoveListSource(c)
+	default:
 		c.host.RemoveSource(c)
 	}
 }
@@ -127,13 +147,13 @@
 	return l
 }
 
-// MayHoldRequest implements host.Source.
-func (l *Listener) MayHoldRequest() bool { return sockstate.HasPendingConn(l.ln) }
+// MayHoldData implements host.Source.
+func (l *Listener) MayHoldData() bool { return sockstate.HasPendingConn(l.ln) }
 
 // BeforeAccept is called before each Accept, when the connections accepted so far are
 // known to the host.
 func (l *Listener) BeforeAccept() {
-	if l.host.CollectsArrivals() && !l.MayHoldRequest() {
+	if l.host.CollectsArrivals() && !l.MayHoldData() {
 		l.host.SourceRead(l)
 	}
 }
--- a/internal/host/arrivals.go
+++ b/internal/host/arrivals.go
@@ -11,11 +11,11 @@
 	"arrowwalk/internal/tcpinfo"
 )
 
-// Source is a connection or a listener on which requests arrive.
+// Source is a connection or a listener on which requests or node lists arrive.
 type Source interface {
-	// MayHoldRequest reports whether a request may have arrived on the source that
-	// was not handed to Do. It must not call the Host.
-	MayHoldRequest() bool
+	// MayHoldData reports whether data may have arrived on the source that was not
+	// handed to the Host. It must not call the Host.
+	MayHoldData() bool
 }
 
 // maxArrivalWait bounds the time after a stall for which requests of ordered classes
@@ -69,7 +69,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sources[s] = struct{}{}
-	if a.collector.Collecting() && s.MayHoldRequest() {
+	if a.collector.Collecting() && s.MayHoldData() {
 		a.collector.AddSource(s)
 	}
 }
@@ -138,7 +138,7 @@
 	a.collector.Begin(int64(now), gap, maxArrivalWait.Microseconds())
 	a.collecting.Store(true)
 	for s := range a.sources {
-		if s.MayHoldRequest() {
+		if s.MayHoldData() {
 			a.collector.AddSource(s)
 		}
 	}
--- a/internal/host/arrivals_test.go
+++ b/internal/host/arrivals_test.go
@@ -13,7 +13,7 @@
 // testSource is a source that holds a request until the test says otherwise.
 type testSource struct{ name string }
 
-func (*testSource) MayHoldRequest() bool { return true }
+func (*testSource) MayHoldData() bool { return true }
 
 // sequenceRunner records the order in which the attempts of tasks begin.
 type sequenceRunner struct {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,7 @@
 
 	stalls        *stallGuard
 	arrivals      arrivals
+	lists         listSources
 	heartbeatDone sync.WaitGroup
 	afterStall    bool // the current step is the first one after a stall
 
@@ -62,6 +63,7 @@
 	events     []arrowwalk.Event
 	spareInbox []message
 	timerAt    arrowwalk.Micros // when Host.timer expires; 0 if it is not set
+	steppedAt  arrowwalk.Micros // time of the latest step
 	shutdownAt time.Time        // all tasks end by then; zero if no shutdown was requested
 }
 
@@ -89,6 +91,7 @@
 	h.timer = time.NewTimer(0)
 	h.loop = loop{engine: engine, tasks: map[arrowwalk.RequestID]*Task{}, members: map[arrowwalk.NodeID]Member{}}
 	h.stalls = newStallGuard(h.moduleTime())
+	h.lists.init()
 	h.arrivals.init(&h.opt.Settings, h.moduleTime())
 	h.heartbeatDone.Add(1)
 	go h.runLoop()
@@ -268,11 +271,26 @@
 	return max(0, end.Sub(start)-r.SocketDelay-h.StalledBetween(r.HeadReadAt, end))
 }
 
+// isOutdated reports whether the process was stalled since the module chose a node, and
+// the node takes no requests any more.
+func (h *Host) isOutdated(node arrowwalk.NodeID, chosenAt arrowwalk.Micros) bool {
+	if int64(h.moduleTime()) > h.stalls.heartbeatDue.Load() {
+		h.endStall(h.moduleTime())
+	}
+	if h.stalls.lastStallEnd.Load() <= int64(chosenAt) {
+		return false
+	}
+	h.loopMu.Lock()
+	defer h.loopMu.Unlock()
+	member, ok := h.loop.members[node]
+	return !ok || member.State != arrowwalk.Ready
+}
+
 func (h *Host) runAttempt(t *Task, s signal) AttemptResult {
-	if t.ended.Load() || !time.Now().Before(s.deadline) { // the task ended before the attempt began, or ends now
+	if t.ended.Load() || !time.Now().Before(s.deadline) || h.isOutdated(s.member.ID, s.chosenAt) { // the task ended before the attempt began, or ends now
 		return AttemptResult{Status: arrowwalk.NotSent}
 	}
-	return t.Runner.Try(&Attempt{Request: t.request.ID, Number: s.number, Member: s.member, Deadline: s.deadline})
+	return t.Runner.Try(&Attempt{Request: t.request.ID, Number: s.number, Member: s.member, Deadline: s.deadline, host: h, chosenAt: s.chosenAt})
 }
 
 // BeginStream reports that the response to t has begun in the given attempt:
@@ -332,6 +350,7 @@
 	l := &h.loop
 	l.events = l.events[:0]
 	start, now := time.Now(), h.moduleTime()
+	l.steppedAt = now
 	for _, m := range in {
 		if m.inspect != nil {
 			m.inspect(h.snapshotLocked())
@@ -410,7 +429,7 @@
 		t.lastMember.ID = a.Node
 		t.runningAttempt = t.attempts
 		t.attempts++
-		t.signals <- signal{kind: signalSend, number: t.runningAttempt, member: t.lastMember, deadline: t.cappedDeadline}
+		t.signals <- signal{kind: signalSend, number: t.runningAttempt, member: t.lastMember, deadline: t.cappedDeadline, chosenAt: l.steppedAt}
 	case arrowwalk.Refuse, arrowwalk.Fail:
 		h.endTask(a)
 	case arrowwalk.Cancel:
--- a/internal/host/stall.go
+++ b/internal/host/stall.go
@@ -178,6 +178,7 @@
 	h.stalls.mu.Lock()
 	ended := h.stalls.lastStall
 	h.stalls.mu.Unlock()
+	h.awaitLists()
 	h.stepAfterStall(ended)
 }
 
--- a/internal/host/stall_test.go
+++ b/internal/host/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +130,94 @@
 		t.Errorf("after a stall of %s the brick's queue delay is %s", length, delay)
 	}
 }
+
+// unreadList is a list source on which a list lies unread until it is delivered.
+type unreadList struct {
+	asked  chan time.Time // receives when the host first looks
+	unread atomic.Bool
+}
+
+func (l *unreadList) MayHoldData() bool {
+	select {
+	case l.asked <- time.Now():
+	default:
+	}
+	return l.unread.Load()
+}
+
+// A list that lies unread when a stall ends is read before anything is sent, also for
+// requests that were sent on their way before it.
+func TestListsAreReadFirstAfterAStall(t *testing.T) {
+	const rounds = 20 // on a busy machine the list may be delivered after the bound
+	for round := range rounds {
+		if sentTo, inTime := runWithUnreadList(t); inTime {
+			if sentTo != "b" {
+				t.Errorf("round %d: the request was sent to %q, which drains", round, sentTo)
+			}
+			return
+		}
+		if t.Failed() {
+			return
+		}
+	}
+	t.Errorf("in none of %d stalls was the list delivered within the bound", rounds)
+}
+
+// recordingRunner records which node its attempt goes to.
+type recordingRunner struct{ node arrowwalk.NodeID }
+
+func (r *recordingRunner) Try(a *Attempt) AttemptResult {
+	r.node = a.Member.ID
+	return AttemptResult{Status: arrowwalk.OK, Final: true}
+}
+
+func (*recordingRunner) Abort(int) {}
+
+// runWithUnreadList submits a request after a stall in which a list came that replaces
+// node a with b. It returns the node that got the request, and whether the list was
+// delivered within maxListWait.
+func runWithUnreadList(t *testing.T) (sentTo arrowwalk.NodeID, inTime bool) {
+	h, err := New(Options{Settings: settings()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	a := Member{Node: arrowwalk.Node{ID: "a"}, Address: "x"}
+	h.Nodes(arrowwalk.ListSnapshot, 1, []Member{a})
+	source := &unreadList{asked: make(chan time.Time, 1)}
+	source.unread.Store(true)
+	beforeStall := h.moduleTime()
+	h.AddListSource(source)
+	defer h.RemoveListSource(source)
+	delivered := make(chan time.Duration, 1)
+	go func() {
+		asked := <-source.asked
+		draining := a
+		draining.State = arrowwalk.Draining
+		h.Nodes(arrowwalk.ListDelta, 2, []Member{draining, {Node: arrowwalk.Node{ID: "b"}, Address: "y"}})
+		source.unread.Store(false)
+		h.ListSourceRead(source)
+		delivered <- time.Since(asked)
+	}()
+	stallHost(h, 150*time.Millisecond)
+	runner := &recordingRunner{}
+	result := h.Do(&Task{Volume: arrowwalk.Volume{ID: 1, Hosts: 1}, Units: 1, Deadline: time.Now().Add(time.Second), Runner: runner})
+	select {
+	case took := <-delivered:
+		inTime = took < maxListWait/2
+	default: // nobody looked for the list before the request was sent
+		t.Errorf("the request ended with %+v, sent to %q, before the list was read", result, runner.node)
+		source.MayHoldData() // ends the goroutine
+		<-delivered
+		return runner.node, false
+	}
+	if inTime {
+		if result.Status != Served {
+			t.Errorf("the request ended with %+v", result)
+		}
+		if !h.isOutdated("a", beforeStall) || h.isOutdated("a", h.moduleTime()) || h.isOutdated("b", beforeStall) {
+			t.Error("an attempt is not held to the list that came in a stall")
+		}
+	}
+	return runner.node, inTime
+}
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -20,8 +20,16 @@
 	Number   int // counted from 0
 	Member   Member
 	Deadline time.Time // a response after it does not count
+
+	host     *Host
+	chosenAt arrowwalk.Micros // when the module chose the member
 }
 
+// Outdated reports whether the process was stalled since the module chose the member, and
+// the member takes no requests any more. A Runner asks right before it sends. Unless there
+// was a stall, it costs reading the clock and two atomic loads.
+func (a *Attempt) Outdated() bool { return a.host != nil && a.host.isOutdated(a.Member.ID, a.chosenAt) }
+
 // AttemptResult is the result of an attempt.
 type AttemptResult struct {
 	Status          arrowwalk.Status
@@ -100,7 +108,8 @@
 	number     int // of the attempt
 	member     Member
 	retryAfter time.Duration
-	deadline   time.Time // a response after it does not count
+	deadline   time.Time        // a response after it does not count
+	chosenAt   arrowwalk.Micros // when the module chose the node
 }
 
 // TaskStatus is how a task ended.
--- a/internal/platform/discovery/follower.go
+++ b/internal/platform/discovery/follower.go
@@ -19,7 +19,10 @@
 	OnList func(kind arrowwalk.ListKind, index int64, members []host.Member)
 	// OnAddresses is called with the addresses of all bricks that have not left,
 	// after each list from an agent.
-	OnAddresses  func(addresses []string)
+	OnAddresses func(addresses []string)
+	// Host is told of each connection to an agent, so that after a stall lists that have
+	// arrived are read first; nil: none is.
+	Host         *host.Host
 	NoStartTimes bool // omit the bricks' start times; for negative tests only
 }
 
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -8,16 +8,19 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 
+	"arrowwalk/internal/connsource"
 	"arrowwalk/internal/http1"
+	"arrowwalk/internal/sockstate"
 )
 
 // Timeouts of a watch. The agent sends an empty line every 2 s, so a watch without
 // data for idleTimeout is broken. Every change must be delivered within 6 s after
 // discovery has it and is reachable, and what a silent watch misses within 6 s
 // after it fell silent. The longest path is a watch that is accepted while
-// discovery is down (firstDataTimeout), the longest backoff and one more watch;
+// discovery is down (firstDataTimeout), the backoff and one more watch;
 // backoff_test.go checks the sums.
 const (
 	dialTimeout      = time.Second
@@ -32,6 +35,7 @@
 	address  string
 	ctx      context.Context
 	cancel   context.CancelFunc
+	opened   time.Time     // when the watch was opened
 	ended    chan error    // receives the error with which the watch ended; buffered
 	began    time.Time     // when the first data was received
 	alive    time.Duration // from the first to the last data
@@ -40,7 +44,7 @@
 
 // open starts a watch on the agent at address.
 func (f *Follower) open(ctx context.Context, address string) *watch {
-	w := &watch{follower: f, address: address, ended: make(chan error, 1)}
+	w := &watch{follower: f, address: address, opened: time.Now(), ended: make(chan error, 1)}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	f.watches.Go(func() { w.ended <- w.run() })
 	return w
@@ -71,7 +75,9 @@
 	if _, err := fmt.Fprintf(nc, "GET /v1/servers?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.follower.currentIndex(), w.address); err != nil {
 		return err
 	}
-	in := bufio.NewReaderSize(nc, 4<<10)
+	input, closeInput := w.input(nc)
+	defer closeInput()
+	in := bufio.NewReaderSize(input, 4<<10)
 	var head http1.Response
 	if err := http1.NewReader(in, http1.DefaultLimits).ReadResponse(&head, "GET"); err != nil {
 		return err
@@ -84,6 +90,38 @@
 	return w.follow(nc, &body)
 }
 
+// input returns what the agent's data is read from. Data that has arrived is read even
+// if the timeout passed meanwhile: then this process did not run. The caller calls
+// closeInput before it closes nc.
+func (w *watch) input(nc net.Conn) (input io.Reader, closeInput func()) {
+	raw := sockstate.RawConn(nc)
+	if raw == nil || w.follower.opt.Host == nil {
+		return nc, func() {}
+	}
+	source := connsource.NewList(w.follower.opt.Host, raw)
+	return &lateReader{watch: w, nc: nc, reader: source.Reader(nc)}, source.Close
+}
+
+// lateReader reads from an agent. If the timeout passed although data is available, it
+// reads again.
+type lateReader struct {
+	watch  *watch
+	nc     net.Conn
+	reader *sockstate.Reader
+}
+
+// Read implements io.Reader.
+func (r *lateReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !sockstate.Readable(r.reader.Raw) {
+		return n, err
+	}
+	if err := r.watch.setTimeout(r.nc, idleTimeout); err != nil {
+		return 0, err
+	}
+	return r.reader.Read(p)
+}
+
 // setTimeout sets the connection's deadline, or returns an error if the watch was
 // cancelled.
 func (w *watch) setTimeout(nc net.Conn, timeout time.Duration) error {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,6 +104,7 @@
 		Log:          log,
 		OnList:       h.Nodes,
 		OnAddresses:  inst.sender.CloseIdleExcept,
+		Host:         h,
 		NoStartTimes: disabled.NoStartTimes,
 	})
 	inst.awaitFirstList()
--- a/internal/platform/stalled_stop_test.go
+++ b/internal/platform/stalled_stop_test.go
@@ -49,7 +49,7 @@
 
 // childHost is a host in a process of its own, which a test can stall.
 type childHost struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	out  *bufio.Scanner
 	addr string
@@ -70,7 +70,7 @@
 
 // startChildHostWithBrick starts a host that knows one brick, which takes latency for a
 // request, and has no agent. The replacements are made in its configuration.
-func startChildHostWithBrick(t *testing.T, log *standin.Log, latency time.Duration, more ...string) *childHost {
+func startChildHostWithBrick(t testing.TB, log *standin.Log, latency time.Duration, more ...string) *childHost {
 	t.Helper()
 	brick := &standin.Brick{Name: "only", Zone: "a"}
 	if err := brick.Start(log); err != nil {
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -139,7 +139,7 @@
 		s.pool.Put(nc)
 		return host.AttemptResult{Status: arrowwalk.NotSent}
 	}
-	if c.ClientGone != nil && c.ClientGone() { // it may have left during the dial
+	if c.ClientGone != nil && c.ClientGone() || t.Outdated() { // the client may have left during the dial
 		attempt.Detach()
 		nc.SetDeadline(time.Time{})
 		s.pool.Put(nc)
