Discovery: a silent agent is always being asked, one that refuses within the grace

Cause: after a call that a silent agent did not answer the host waited up to 1 s before the next; a return in that wait was noticed when it was over.

Change: the wait goes by how long a watch was open. One of 1 s or more is reopened at once, alive or silent; its length limits the rate of calls.

--- a/internal/platform/discovery/follower.go
+++ b/internal/platform/discovery/follower.go
@@ -119,7 +119,7 @@
 			f.opt.Log.Warn("watch on discovery ended, reconnecting", "error", err)
 			logged = true
 		}
-		if !f.sleep(ctx, retry.next(w.alive)) {
+		if !f.sleep(ctx, retry.next(time.Since(w.opened))) {
 			retry = backoff{}
 		}
 	}
