Platform: Expect: 100-continue on a rested connection is continued, not refused with 408

Cause: the write deadline of the response before it was still set; the write of 100 Continue failed by it, and the failure was taken for a read that timed out.

Change: 100 Continue is written under a deadline of its own.

Result: the new test gets 408 without the change and 100, then 200, with it, three times.

--- a/internal/platform/frontend/conn.go
+++ b/internal/platform/frontend/conn.go
@@ -193,6 +193,7 @@
 		return nil, nil
 	}
 	if c.req.Expect100 && c.reader.Buffered() == 0 {
+		c.nc.SetWriteDeadline(time.Now().Add(WriteTimeout)) // that of an earlier response may have passed
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
 		}
--- a/internal/platform/frontend/race_test.go
+++ b/internal/platform/frontend/race_test.go
@@ -483,6 +483,35 @@
 	}
 }
 
+// Guards against a request with Expect: 100-continue that was answered with 408 because
+// the write deadline of the response before it had passed while the connection rested.
+func TestContinueOnARestedConnection(t *testing.T) {
+	ts := newTestServer(t, false)
+	client := ts.dial()
+	for _, id := range []string{"first", "second"} { // the first response may end its connection
+		client.send(request(id, ""))
+		go ts.answerNext()
+		if status := client.status(); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	e := ts.waitForConn(eviction.StateIdle)
+	if err := e.Conn.nc.SetWriteDeadline(time.Unix(1, 0)); err != nil { // as after a rest
+		t.Fatal(err)
+	}
+	const body = "text"
+	client.send("PUT /save-paper" + piece + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: third\r\nIdempotency-Key: key\r\nX-Plan: basic\r\n" +
+		fmt.Sprintf("X-Timeout: 2.400\r\nX-IO: units=1,shard=0,hosts=1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body)))
+	if status := client.status(); status != 100 {
+		t.Fatalf("status %d, want 100", status)
+	}
+	client.send(body)
+	go ts.answerNext()
+	if status := client.status(); status != 200 {
+		t.Errorf("status %d after the body", status)
+	}
+}
+
 // A connection on which nothing arrives in time is closed.
 func TestSilentConnectionIsClosedInTime(t *testing.T) {
 	acceptGate := make(chan struct{})
