--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -174,8 +174,6 @@
 	return nil, newFailure(arrowwalk.Unreachable, reason, err)
 }
 
-const smallBody = 64 << 10
-
 // send writes the request's head and body. A body in memory is sent together
 // with the head in one write.
 func (c *conn) send(req *Request) error {
--- a/internal/brickd/reply.go
+++ b/internal/brickd/reply.go
@@ -186,9 +186,6 @@
 	return err
 }
 
-// smallBody is the largest body that is sent in one write with its head.
-const smallBody = record.BlockSize
-
 func (c *conn) sendBlob(ex *Exchange, r *reply, fault Fault) error {
 	if ex.Method == "HEAD" {
 		c.buildHead(r, r.length)
--- a/internal/emul/hosts.go
+++ b/internal/emul/hosts.go
@@ -35,7 +35,6 @@
 	knownNodes []arrowwalk.Node // the last node list that the gate accepted
 	knownAt    int64
 	openTold   map[arrowwalk.NodeID]int // index in the trace's Told of the current entry of each draining or removed brick
-	heardAny   bool
 }
 
 // outage is a period in which a host was down.
--- a/internal/emul/radix/radix_test.go
+++ b/internal/emul/radix/radix_test.go
@@ -10,9 +10,8 @@
 type referenceHeap []entry
 
 type entry struct {
-	at    int64
-	seq   int
-	value [3]int64
+	at  int64
+	seq int
 }
 
 func (h referenceHeap) Len() int { return len(h) }
--- a/internal/emul/sim.go
+++ b/internal/emul/sim.go
@@ -78,7 +78,6 @@
 
 	netRand, troubleRand *rand.Rand
 	loadFactor           float64
-	heavy                []*volume
 	impatience           *scenario.Event // set while clients are impatient
 	answerLoss           map[int]float64 // probability that an answer is lost, by brick
 	isolatedZone         int             // zone whose hosts reach no brick of other zones; -1: none
--- a/internal/endtoend/multipart_test.go
+++ b/internal/endtoend/multipart_test.go
@@ -39,7 +39,9 @@
 
 func multipart(t *testing.T, c *s3.Client) {
 	body := random(17<<20+3, 5)
+	//lint:ignore SA1019 clients still upload with it
 	up := manager.NewUploader(c)
+	//lint:ignore SA1019 as above
 	if _, err := up.Upload(ctx, &s3.PutObjectInput{Bucket: bucket, Key: aws.String("managed"), Body: bytes.NewReader(body)}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/s3/record.go
+++ b/internal/front/s3/record.go
@@ -306,11 +306,6 @@
 	return time.Time{}, false
 }
 
-// isEmpty reports whether there are no preconditions.
-func (c *conditions) isEmpty() bool {
-	return !c.hasMatch && !c.hasNoneMatch && !c.hasModifiedSince && !c.hasUnmodifiedSince
-}
-
 // check evaluates the preconditions in the order of RFC 9110 section 13.2.2.
 // It returns errPrecondition or errNotModified if one fails.
 func (c *conditions) check(r *record) error {
--- a/internal/front/vhost/device.go
+++ b/internal/front/vhost/device.go
@@ -66,7 +66,6 @@
 	queue  *queue
 	chain  virtqueue.Chain
 	parsed blk.Request
-	parts  []ordering.Op
 }
 
 // maxWorkers is the largest number of requests of a device that run at once.
--- a/internal/front/vhost/server.go
+++ b/internal/front/vhost/server.go
@@ -119,8 +119,6 @@
 	features         uint64
 	protocolFeatures uint64
 	memory           *guestmem.Table
-	regions          []wire.Region
-	fds              []int // of the regions, until a new table is mapped
 	queues           [maxQueues]vring
 	inflight         []byte
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,8 +62,6 @@
 
 // fakeStore is an object store with switchable faults.
 type fakeStore struct {
-	mu           sync.Mutex
-	objects      map[string][]byte
 	corruptReads atomic.Bool  // flip one bit of each object read
 	stallUntil   atomic.Int64 // delay answers until then, in nanoseconds since 1970
 	refuseAll    atomic.Bool  // answer 503 to all object requests
--- a/internal/platform/upstream/response_body.go
+++ b/internal/platform/upstream/response_body.go
@@ -32,6 +32,7 @@
 	if n := cap(c.ResponseBody); n > 0 {
 		c.sender.memory.Release(int64(n))
 		if n == minBufferBytes {
+			//lint:ignore SA6002 the slice header is all that is allocated
 			buffers.Put(c.ResponseBody[:0])
 		}
 	}
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -58,7 +58,7 @@
 	kept := c.nc != nil
 	again := c.try(text, id, method, target, &call)
 	if again && kept {
-		again = c.try(text, id, method, target, &call)
+		c.try(text, id, method, target, &call)
 	}
 	call.Ended = now()
 	call.Stopping = c.Stopping != nil && (c.Stopping(time.Now()) || c.Stopping(time.UnixMicro(call.Sent)))
--- a/internal/standin/vmm/vmm.go
+++ b/internal/standin/vmm/vmm.go
@@ -63,10 +63,9 @@
 	kick   int
 	call   *os.File
 	callFD int
-	seen   uint16       // of the used ring
-	out    map[int]*IO  // by slot
-	heads  map[int]bool // given back twice?
-	Lose   func() bool  // loses a kick
+	seen   uint16      // of the used ring
+	out    map[int]*IO // by slot
+	Lose   func() bool // loses a kick
 }
 
 // IO is one request.
--- a/internal/volume/extent/extent.go
+++ b/internal/volume/extent/extent.go
@@ -42,7 +42,7 @@
 func (r *VolumeRecord) validate() error {
 	switch {
 	case r.Name == "" || len(r.Name) > maxNameLength || strings.Trim(r.Name, "abcdefghijklmnopqrstuvwxyz0123456789-.") != "" || r.Name[0] == '.':
-		return fmt.Errorf("volume name %q: must be 1 to %d of a-z, 0-9, - and .", r.Name, maxNameLength)
+		return fmt.Errorf("volume name %q: must be 1 to %d of a-z, 0-9, dot and hyphen", r.Name, maxNameLength)
 	case r.BlockBytes != 512 && r.BlockBytes != 4096:
 		return fmt.Errorf("volume %s: block size %d: must be 512 or 4096", r.Name, r.BlockBytes)
 	case r.ExtentBytes < r.BlockBytes || r.ExtentBytes%r.BlockBytes != 0 || r.ExtentBytes > 1<<20:
