Four tests that a busy machine turned red no longer go by its speed

TestAgainstGateway: 54 requests were never sent, since the test's own load tool had 64 in flight and was 1.1 s late. TestManyTasksGoneAndStopped: 310 of 400 requests were refused, since their aim was 0.1 s. TestWatchers: connections were read for 20 s at most and events came later.

What the tests want is as it was.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -143,7 +143,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			c.conn.SetReadDeadline(time.Now().Add(time.Minute)) // only guards against a hang
 			last, snapshots := int64(0), 0
 			for last < events+3 {
 				r, err := c.Next()
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -149,7 +149,9 @@
 // Each task of many goroutines gets one result, even if its client disconnects or
 // the host is closed, and the host forgets it afterwards.
 func TestManyTasksGoneAndStopped(t *testing.T) {
-	h, err := New(Options{Settings: settings()})
+	s := settings()
+	s.Classes[0].Aim, s.Classes[0].Deadline = 30_000_000, 60_000_000 // no request is late on a slow machine
+	h, err := New(Options{Settings: s})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -172,18 +174,19 @@
 	}
 	for i := range 400 {
 		wg.Add(1)
-		go runTask([]AttemptResult{{Status: arrowwalk.OK, Final: true}}, false, time.Second)
+		go runTask([]AttemptResult{{Status: arrowwalk.OK, Final: true}}, false, time.Minute)
 		if i%100 == 0 {
 			wg.Add(1)
-			go runTask(nil, true, 2*time.Second)
+			go runTask(nil, true, time.Minute)
 		}
 	}
 	wg.Wait()
 	if abandoned := counts[ClientGone].Load(); abandoned != 4 || counts[Served].Load() < 300 {
 		t.Errorf("client gone %d, served %d, refused %d, failed %d", abandoned, counts[Served].Load(), counts[Refused].Load(), counts[Failed].Load())
 	}
-	if s := h.Snapshot(); len(s.Running) != 0 {
-		t.Errorf("%d tasks are kept", len(s.Running))
+	h.Snapshot() // a task that ended in the step of a snapshot is forgotten after it
+	if snapshot := h.Snapshot(); len(snapshot.Running) != 0 {
+		t.Errorf("%d tasks are kept", len(snapshot.Running))
 	}
 	wg.Add(1)
 	go runTask(nil, false, time.Minute)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -48,6 +48,7 @@
 		g.Stop(ctx)
 	}()
 	opt := options(g.Endpoint(), 150)
+	opt.MaxInFlight = 1000 // more than all requests: a slow machine leaves none unsent
 	r, err := Run(context.Background(), opt)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/prove/objects.go
+++ b/internal/prove/objects.go
@@ -37,7 +37,7 @@
 	recordFaultRate  = 0.6  // of the writes of records at the end, of which nothing overwrites the consequences
 	recordFaultTime  = time.Second
 	objectSettle     = 2 * time.Second
-	objectSweepTime  = 15 * time.Second // until the last sweep has found what is left
+	objectSweepTime  = 15 * time.Second // within which the last sweep finds more of what is left
 )
 
 // objectsRun is a run of gateways on shared bricks.
@@ -472,8 +472,8 @@
 		Reclaim: s3.ReclaimTimes{SweepInterval: 50 * time.Millisecond, TrashGrace: time.Millisecond, IntentLease: time.Millisecond}})
 }
 
-// awaitSweep waits until the sweeper has nothing left to do, for a bounded time. It
-// returns the counts of pieces before and after.
+// awaitSweep waits until the sweeper has nothing left to do, or has found nothing more for
+// objectSweepTime. It returns the counts of pieces before and after.
 func (r *objectsRun) awaitSweep(ctx context.Context) (before, after ownership, err error) {
 	var stores []*store.Store
 	for _, b := range r.bricks {
@@ -482,10 +482,14 @@
 	if before, err = countPieces(stores); err != nil {
 		return before, after, err
 	}
-	for began := time.Now(); time.Since(began) < objectSweepTime; {
+	least := before.unnamed + before.waiting
+	for progress := time.Now(); time.Since(progress) < objectSweepTime; {
 		if after, err = countPieces(stores); err != nil || after.unnamed+after.waiting == 0 {
 			return before, after, err
 		}
+		if left := after.unnamed + after.waiting; left < least { // bounded: it only becomes less
+			least, progress = left, time.Now()
+		}
 		if err := wait(ctx, 20*time.Millisecond); err != nil {
 			return before, after, err
 		}
