--- a/review/lib2/link.go
+++ b/review/lib2/link.go
@@ -107,4 +107,3 @@
 	close(l.free)
 	l.mu.Unlock()
 }
-
