Review, case 6: 700 writes of 32 KiB a second, so that the calm run is far from the bricks' bound

Cause: at 2,000 writes of 16 KiB a second the bricks of this machine were once near their bound in the calm run.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Case 6: one of five bricks is silent for 5 s while a guest writes; the volume hangs
+// Case 6: one of five bricks is silent for 5.5 s while a guest writes; the volume hangs
 // for good.
 package main
 
@@ -24,10 +24,10 @@
 	bricks      = 5
 	queues      = 16
 	depth       = 256 // requests that a queue may have out
-	ioBytes     = 16 << 10
-	rate        = 2000 // writes a second, over all queues
+	ioBytes     = 32 << 10
+	rate        = 700 // writes a second, over all queues
 	diskBytes   = 512 << 20
-	silence     = 5 * time.Second
+	silence     = 5500 * time.Millisecond
 	givenWithin = 45 * time.Second // after the brick speaks again: 30 s in which a request waits, and the class's 8 s
 )
 
