--- a/review/10/main.go
+++ b/review/10/main.go
@@ -130,6 +130,6 @@
 			c.Break("the body differs")
 		}
 	}
-	c.Note("%d reads: %d served, %d answered as failures", reads, served, failed)
+	c.Note("%d reads: %d served, %d refused, failed or not to be read", reads, served, failed)
 	c.Finish()
 }
