A head between host and brick carries a checksum: flipped metadata is not served

Cause: Aw-Sums covers blocks of bodies alone. Metadata, version, name, conditions, the metadata of a replaced blob and whole lists had no checksum, both ways.

Change: every head has Aw-Protocol as its first and Aw-Head-Sum, the CRC-32C of all bytes before it, as its last field; lists have Aw-Sums. A brick executes nothing whose head does not match, a host takes such an answer for a failed attempt.

--- a/internal/brick/message.go
+++ b/internal/brick/message.go
@@ -157,6 +157,7 @@
 // appendHead appends the request's head. timeout is the remaining time that the
 // host waits for the response.
 func (r *Request) appendHead(b []byte, timeout time.Duration) []byte {
+	start := len(b)
 	b = append(b, r.Method...)
 	b = append(b, " /v1/"...)
 	b = append(b, r.Space...)
@@ -171,7 +172,8 @@
 	} else {
 		b = AppendName(append(b, '/'), r.Name)
 	}
-	b = append(b, " HTTP/1.1\r\nHost: brick\r\n"...)
+	b = AppendProtocol(append(b, " HTTP/1.1\r\n"...))
+	b = append(b, "Host: brick\r\n"...)
 	b = http1.AppendField(b, HeaderRequest, r.RequestID)
 	b = http1.AppendIntField(b, HeaderDeadline, timeout.Microseconds())
 	b = http1.AppendIntField(b, HeaderHost, int64(r.Host))
@@ -226,7 +228,7 @@
 	if r.Method == "PUT" || r.Method == "PATCH" {
 		b = http1.AppendIntField(b, "Content-Length", r.bodyLen())
 	}
-	return append(b, "\r\n"...)
+	return AppendHeadSum(b, start)
 }
 
 func (r *Request) bodyLen() int64 {
--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -91,6 +91,9 @@
 	if err := c.HeadReader.ReadResponse(&c.resp, req.Method); err != nil {
 		return p.discard(at, c, err)
 	}
+	if err := VerifyHead(c.HeadReader.Head()); err != nil { // the brick may have executed the request
+		return p.discard(at, c, newFailure(arrowwalk.Failed, ReasonCorrupt, err))
+	}
 	resp.conn, resp.at, resp.Raw = c, at, c.RawConn
 	if err := resp.parseHead(&c.resp); err != nil {
 		return p.discard(at, c, &http1.Error{Status: 502, Reason: err.Error()})
--- a/internal/brickd/reply.go
+++ b/internal/brickd/reply.go
@@ -80,12 +80,12 @@
 	if err != nil {
 		return &reply{status: 500, text: err.Error()}
 	}
-	return &reply{status: 200, body: text}
+	return &reply{status: 200, body: text, sums: record.AppendChecksums(nil, text)}
 }
 
 // buildHead sets c.writeBuf to the head of r with the given body length.
 func (c *conn) buildHead(r *reply, length int64) {
-	b := http1.AppendStatusLine(c.writeBuf[:0], r.status)
+	b := brick.AppendProtocol(http1.AppendStatusLine(c.writeBuf[:0], r.status))
 	b = http1.AppendField(b, brick.HeaderBrick, c.server.identity)
 	if c.requestID != "" { // lets the client detect a second response to an earlier request
 		b = http1.AppendField(b, brick.HeaderRequest, c.requestID)
@@ -137,7 +137,7 @@
 	if r.status != 204 {
 		b = http1.AppendIntField(b, "Content-Length", length)
 	}
-	c.writeBuf = append(b, "\r\n"...)
+	c.writeBuf = brick.AppendHeadSum(b, 0)
 }
 
 // sendText sends a reply that has no blob.
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -192,6 +192,11 @@
 			}
 			return
 		}
+		if err := brick.VerifyHead(heads.Head()); err != nil { // where its body ends is unknown, too
+			c.requestID = ""
+			c.sendText(&reply{status: 500, text: err.Error(), corrupt: true, closeConn: true})
+			return
+		}
 		c.body.Reset(c.reader, c.req.Framing)
 		if err := c.handleRequest(); err != nil || c.req.Close || !c.body.Drain(1<<20) {
 			return
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -165,6 +165,11 @@
 	return p.interpretFields(method)
 }
 
+// Head returns the bytes of the last head that was read: its first line and its fields,
+// each with its line end, without the empty line after them. They are valid until the
+// next head is read.
+func (r *Reader) Head() []byte { return r.head[:max(len(r.head)-len("\r\n"), 0)] }
+
 // readHead reads a head including the empty line that ends it, and returns its
 // text without that line.
 func (r *Reader) readHead() (string, error) {
