No worker of a volume waits for workers: a silent brick no longer hangs it for good

Cause: a worker that ends a write makes the next one of its extent runnable by a send to a channel of 256 places that only the 256 workers read. Ended at once by a silence, all of them wait for each other. The stop waits for requests that it did not cancel (a queue being stopped), and a cancelled device sent each waiting write to the brick in turn.

Change: runnable requests stand in a list, bounded by the sizes of the queues, which is now checked; a cancelled device runs nothing, calls of an ended context are abandoned, and Close cancels the device of a session in any state.

--- a/internal/front/vhost/device.go
+++ b/internal/front/vhost/device.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -42,21 +43,24 @@
 }
 
 // device runs the requests of all queues of one session. All goroutines that it
-// starts have ended when stop returns.
+// starts have ended when stop returns. Neither a queue nor a worker ever waits for a
+// worker: runnable grows as needed, bounded by the sizes of the queues.
 type device struct {
 	disk   Disk
 	stats  *Stats
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu          sync.Mutex // guards tracker, requests, freeIDs, idleWorkers and workers
+	mu          sync.Mutex // guards all fields below but wg
 	tracker     *ordering.Tracker
 	requests    []*pendingRequest
 	freeIDs     []uint32
-	wg          sync.WaitGroup
-	runnable    chan *pendingRequest
+	runnable    []*pendingRequest // in the order in which they became runnable
+	wake        *sync.Cond        // signaled for each idle worker that has to run a request, and when stopping
 	idleWorkers int
 	workers     int
+	stopping    bool
+	wg          sync.WaitGroup
 }
 
 // pendingRequest is an unfinished request of the driver, or a finished one that is kept
@@ -73,38 +77,23 @@
 
 // newDevice returns a device without queues. The caller must call stop.
 func newDevice(disk Disk, stats *Stats) *device {
-	d := &device{disk: disk, stats: stats, tracker: ordering.NewTracker(disk.ExtentBytes), runnable: make(chan *pendingRequest, maxWorkers)}
+	d := &device{disk: disk, stats: stats, tracker: ordering.NewTracker(disk.ExtentBytes)}
+	d.wake = sync.NewCond(&d.mu)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
 
-// stop cancels the running requests, waits for them and ends the workers.
+// stop cancels the running requests, waits for them and ends the workers. No queue may
+// run any more.
 func (d *device) stop() {
 	d.cancel()
-	d.drain()
-	close(d.runnable)
+	d.mu.Lock()
+	d.stopping = true
+	d.wake.Broadcast()
+	d.mu.Unlock()
 	d.wg.Wait()
 }
 
-// drain waits until no request is in flight.
-func (d *device) drain() {
-	for {
-		d.mu.Lock()
-		var wait chan struct{}
-		for _, request := range d.requests {
-			if request != nil && request.queue != nil {
-				wait = request.queue.idleChan()
-				break
-			}
-		}
-		d.mu.Unlock()
-		if wait == nil {
-			return
-		}
-		<-wait
-	}
-}
-
 // newRequest returns a pendingRequest that is not in use.
 func (d *device) newRequest() *pendingRequest {
 	d.mu.Lock()
@@ -163,36 +152,60 @@
 	return nil
 }
 
-// dispatch hands a request to a worker. It starts one if none is idle and there are
-// fewer than maxWorkers.
+// dispatch makes a request runnable. It wakes an idle worker, or starts one if there
+// are fewer than maxWorkers; otherwise the next worker that is done runs the request.
 func (d *device) dispatch(request *pendingRequest) {
 	d.mu.Lock()
-	if d.idleWorkers == 0 && d.workers < maxWorkers {
+	defer d.mu.Unlock()
+	d.runnable = append(d.runnable, request)
+	switch {
+	case d.idleWorkers > 0:
+		d.idleWorkers--
+		d.wake.Signal()
+	case d.workers < maxWorkers:
 		d.workers++
 		d.wg.Add(1)
 		go d.worker()
-	} else if d.idleWorkers > 0 {
-		d.idleWorkers--
 	}
-	d.mu.Unlock()
-	d.runnable <- request
 }
 
-// worker runs requests until the runnable channel is closed.
+// worker runs requests until the device stops and none is left. Requests that wait for
+// others become runnable at the worker that runs those.
 func (d *device) worker() {
 	defer d.wg.Done()
-	for request := range d.runnable {
+	for {
+		request := d.nextRunnable()
+		if request == nil {
+			return
+		}
 		d.execute(request)
-		d.mu.Lock()
+	}
+}
+
+// nextRunnable waits for a runnable request. It returns nil if the device stops.
+func (d *device) nextRunnable() *pendingRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.runnable) == 0 {
+		if d.stopping {
+			return nil
+		}
 		d.idleWorkers++
-		d.mu.Unlock()
+		d.wake.Wait()
 	}
+	request := d.runnable[0]
+	d.runnable[0] = nil
+	d.runnable = d.runnable[1:]
+	return request
 }
 
 // execute runs a request on the backend, returns its chain and dispatches the
-// requests that waited for it.
+// requests that waited for it. A device that was cancelled does not run it.
 func (d *device) execute(request *pendingRequest) {
-	err := guestmem.RecoverFaults(func() error { return d.perform(&request.parsed) })
+	err := d.ctx.Err()
+	if err == nil {
+		err = guestmem.RecoverFaults(func() error { return d.perform(&request.parsed) })
+	}
 	status := blk.OK
 	if err != nil {
 		status = blk.IOErr
@@ -354,6 +367,18 @@
 	}
 }
 
+// countChain counts a chain as in flight. A driver that offers more chains than the
+// queue has descriptors breaks the protocol.
+func (q *queue) countChain() error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.inFlight >= int(q.ring.Size()) {
+		return fmt.Errorf("%w: more than %d chains are in flight", virtqueue.ErrMalformed, q.ring.Size())
+	}
+	q.inFlight++
+	return nil
+}
+
 // handleNext handles the next available chain. more is false if there was none, and ok
 // is false if the queue is broken.
 func (q *queue) handleNext() (more, ok bool) {
@@ -380,9 +405,9 @@
 		if mark {
 			q.inflight.markTaken(request.chain.Head)
 		}
-		q.mu.Lock()
-		q.inFlight++
-		q.mu.Unlock()
+		if err := q.countChain(); err != nil {
+			return err
+		}
 		q.device.mu.Lock()
 		request.queue = q
 		q.device.mu.Unlock()
--- a/internal/front/vhost/server.go
+++ b/internal/front/vhost/server.go
@@ -44,7 +44,8 @@
 	log      *slog.Logger
 	wg       sync.WaitGroup
 	mu       sync.Mutex
-	conn     *net.UnixConn
+	conn     *net.UnixConn // of the current session
+	device   *device       // of the current session
 	closed   bool
 }
 
@@ -70,13 +71,15 @@
 }
 
 // Close ends the session, closes the socket and waits until both are done. Requests in
-// flight stay marked in the inflight region, which the VMM keeps.
+// flight are cancelled, also while the session waits for them; they stay marked in the
+// inflight region, which the VMM keeps.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
 	s.listener.Close()
 	if s.conn != nil {
 		s.conn.Close()
+		s.device.cancel()
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
@@ -99,9 +102,9 @@
 			conn.Close()
 			return
 		}
-		s.conn = conn
+		s.conn, s.device = conn, newDevice(s.disk, &s.Stats)
 		s.mu.Unlock()
-		sess := &session{server: s, conn: conn, device: newDevice(s.disk, &s.Stats)}
+		sess := &session{server: s, conn: conn, device: s.device}
 		err = sess.serve()
 		sess.close()
 		if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
--- a/internal/volume/call.go
+++ b/internal/volume/call.go
@@ -4,6 +4,7 @@
 package volume
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -132,8 +133,15 @@
 }
 
 // perform runs a call under the module's decisions. A nil error means that a brick
-// answered. With errRefused, retryAfter is the wait that the module asks for.
-func (s *Store) perform(c *call, volume string) (retryAfter time.Duration, err error) {
+// answered. With errRefused, retryAfter is the wait that the module asks for. If ctx ends,
+// the call is abandoned and fails; it may have run.
+func (s *Store) perform(ctx context.Context, c *call, volume string) (retryAfter time.Duration, err error) {
+	if ctx.Err() != nil {
+		return 0, ErrIO
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	defer context.AfterFunc(ctx, func() { s.abandon(&c.Task, ended) })()
 	verdict := c.Do()
 	if s.options.OnTaskEnd != nil {
 		s.options.OnTaskEnd(volume, c.Task.Volume.Plan, c.Task.Shard, verdict.Status)
@@ -150,6 +158,21 @@
 	return 0, ErrIO
 }
 
+// abandonRetryInterval is how often a task is abandoned again that the host does not have
+// yet.
+const abandonRetryInterval = time.Millisecond
+
+// abandon abandons a task, once the host has it. It returns when the task has ended.
+func (s *Store) abandon(task *host.Task, ended <-chan struct{}) {
+	for !s.options.Host.Abandon(task) {
+		select {
+		case <-ended:
+			return
+		case <-time.After(abandonRetryInterval):
+		}
+	}
+}
+
 // planIndex returns the index of a plan in the configuration.
 func (s *Store) planIndex(name string) (int, error) {
 	for i := range s.options.Config.Plans {
--- a/internal/volume/volume.go
+++ b/internal/volume/volume.go
@@ -41,6 +41,9 @@
 func retryUntilServed(ctx context.Context, kind retry.Kind, call func() (time.Duration, error)) error {
 	began, state := time.Now(), &retry.State{}
 	for {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		retryAfter, err := call()
 		outcome := retry.Refused
 		switch {
@@ -73,7 +76,7 @@
 	err = retryUntilServed(ctx, retry.Read, func() (time.Duration, error) {
 		c := s.newCall(recordVolume, recordPlan, config.ClassRead, s.recordShard(name), 0, brick.Request{Method: "GET", Space: brick.SpaceVolumes, Name: name})
 		c.HandleResponse = c.readRecordBody(s)
-		retryAfter, err := s.perform(c, name)
+		retryAfter, err := s.perform(ctx, c, name)
 		if err != nil {
 			return retryAfter, err
 		}
@@ -94,7 +97,7 @@
 		encoded := rec.Encode()
 		c := s.newCall(recordVolume, recordPlan, config.ClassWrite, s.recordShard(rec.Name), int64(len(encoded)),
 			brick.Request{Method: "PUT", Space: brick.SpaceVolumes, Name: rec.Name, Body: brick.Bytes(encoded), IfVersion: version, IfAbsent: version == 0})
-		retryAfter, err := s.perform(c, rec.Name)
+		retryAfter, err := s.perform(ctx, c, rec.Name)
 		if err == nil && c.Response.Status == 412 {
 			err = fmt.Errorf("volume %s: %w", rec.Name, errConflict)
 		}
@@ -171,7 +174,7 @@
 	}
 	return retryUntilServed(ctx, retry.Write, func() (time.Duration, error) {
 		c := s.newCall(recordVolume, recordPlan, config.ClassWrite, s.recordShard(name), 0, brick.Request{Method: "DELETE", Space: brick.SpaceVolumes, Name: name})
-		return s.perform(c, name)
+		return s.perform(ctx, c, name)
 	})
 }
 
@@ -184,7 +187,7 @@
 		err := retryUntilServed(ctx, retry.Read, func() (time.Duration, error) {
 			c := s.newCall(recordVolume, recordPlan, config.ClassRead, shard, 0, brick.Request{Method: "GET", Space: space, List: &brick.ListQuery{Prefix: prefix, After: after, MaxItems: 100}})
 			c.HandleResponse = c.readRecordBody(s)
-			wait, err := s.perform(c, prefix)
+			wait, err := s.perform(ctx, c, prefix)
 			if err != nil {
 				return wait, err
 			}
@@ -217,7 +220,7 @@
 				continue
 			}
 			err := retryUntilServed(ctx, retry.Write, func() (time.Duration, error) {
-				return s.perform(s.newCall(recordVolume, recordPlan, config.ClassWrite, shard, 0, brick.Request{Method: "DELETE", Space: brick.SpaceExtents, Name: name}), rec.Name)
+				return s.perform(ctx, s.newCall(recordVolume, recordPlan, config.ClassWrite, shard, 0, brick.Request{Method: "DELETE", Space: brick.SpaceExtents, Name: name}), rec.Name)
 			})
 			if err != nil {
 				return err
@@ -326,7 +329,7 @@
 			return nil
 		}
 		c := v.store.newCall(v.record.Name, v.plan, config.ClassWrite, shard, 0, brick.Request{Method: "PUT", Space: brick.SpaceFences, Name: v.record.Name, Epoch: v.record.Epoch, Body: brick.Bytes(nil)})
-		_, err := v.store.perform(c, v.record.Name)
+		_, err := v.store.perform(ctx, c, v.record.Name)
 		if err == nil && c.Response.Status != 200 {
 			err = fmt.Errorf("%w: fencing a brick: status %d", ErrIO, c.Response.Status)
 		}
@@ -412,7 +415,7 @@
 			brick.Request{Method: "GET", Space: brick.SpaceExtents, Name: name, Epoch: v.record.Epoch, Range: fmt.Sprintf("bytes=%d-%d", p.Offset, p.Offset+p.Bytes-1)})
 		c.readBuffers = bufs
 		c.HandleResponse = c.readExtentBody(v.store)
-		retryAfter, err := v.store.perform(c, v.record.Name)
+		retryAfter, err := v.store.perform(ctx, c, v.record.Name)
 		v.noteFencing(err)
 		if err != nil {
 			return retryAfter, err
@@ -477,7 +480,7 @@
 	return retryUntilServed(ctx, retry.Write, func() (time.Duration, error) {
 		c := v.store.newCall(v.record.Name, v.plan, config.ClassWrite, shard, body.Len(), brick.Request{Method: "PATCH", Space: brick.SpaceExtents, Name: name,
 			Epoch: v.record.Epoch, Offset: p.Offset, Number: number, Truncate: truncate, Body: body})
-		retryAfter, err := v.store.perform(c, v.record.Name)
+		retryAfter, err := v.store.perform(ctx, c, v.record.Name)
 		v.noteFencing(err)
 		if err != nil {
 			return retryAfter, err
