A drained listener ends beside clients that keep connecting

What callers saw: `serve` went on after SIGTERM as long as somebody connected within each 2 ms, and requests that were held meanwhile were refused when their time was up.

Cause: a draining listener waited 2 ms for a further connection, anew after each one, and the end of the stop's context did not close it.

--- a/internal/front/s3/server.go
+++ b/internal/front/s3/server.go
@@ -151,6 +151,7 @@
 		return
 	}
 	s.listener.Drain()
+	defer context.AfterFunc(ctx, func() { s.listener.Close() })()
 	done := make(chan struct{})
 	go func() {
 		<-s.acceptDone
--- a/internal/netdrain/netdrain_test.go
+++ b/internal/netdrain/netdrain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 )
@@ -68,3 +69,30 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against a stop that does not end while clients keep connecting: whenever the
+// listener looks, there is a further connection.
+func TestDrainEndsBesideClientsThatKeepConnecting(t *testing.T) {
+	l := listen(t)
+	dial := func() {
+		if nc, err := net.Dial("tcp", l.Addr().String()); err == nil {
+			nc.Close()
+		}
+	}
+	dial()
+	l.Drain()
+	for deadline := time.Now().Add(5 * time.Second); ; dial() {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.Close()
+		if time.Now().After(deadline) {
+			l.Close()
+			t.Fatal("the listener is still open")
+		}
+	}
+}
--- a/internal/tcpinfo/tcpinfo_linux.go
+++ b/internal/tcpinfo/tcpinfo_linux.go
@@ -41,3 +41,18 @@
 	})
 	return n, ok && err == nil
 }
+
+// PendingConns returns the number of established connections that a listener has not
+// accepted, or 0 if the kernel does not tell.
+func PendingConns(raw syscall.RawConn) int {
+	if raw == nil {
+		return 0
+	}
+	pending := 0
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			pending = int(info.Unacked) // of a listening socket: the length of its accept queue
+		}
+	})
+	return pending
+}
--- a/internal/tcpinfo/tcpinfo_other.go
+++ b/internal/tcpinfo/tcpinfo_other.go
@@ -14,3 +14,6 @@
 
 // UnreadBytes returns false, since this system does not provide it.
 func UnreadBytes(syscall.RawConn) (int, bool) { return 0, false }
+
+// PendingConns returns 0.
+func PendingConns(syscall.RawConn) int { return 0 }
