Nothing is sent or served after a long stall until the node list is read again

Cause: the gateway's own sources of lists were not known to the host, which sent by the list from before the stall; and the brick had no notion of a session that may have ended.

Change: after a stall of 250 ms the host drains all nodes for the module until its source was read by a reading begun after the stall; a choice from before is checked right before the write.

--- a/cmd/arrowwalk/serve.go
+++ b/cmd/arrowwalk/serve.go
@@ -186,7 +186,12 @@
 	}
 	zone := brickd.NewZone(b.Window)
 	zone.Name = b.Zone
-	server := brickd.Start(ln, dir, brickd.Options{ID: b.Name, Zone: zone, Log: g.log})
+	options := brickd.Options{ID: b.Name, Zone: zone, Log: g.log}
+	guard := membership.NewServingGuard(b.Session, g.log)
+	if len(b.Coord) > 0 {
+		options.MayServe = guard.MayServe
+	}
+	server := brickd.Start(ln, dir, options)
 	defer server.Close()
 	tender := maintenance.Start(maintenance.Options{Store: dir, Load: server.Load, ScrubPeriod: b.Scrub, Log: g.log})
 	defer tender.Close()
@@ -194,7 +199,7 @@
 	if len(b.Coord) > 0 {
 		entry := membership.Entry{Name: b.Name, Address: server.Addr(), Zone: b.Zone, Shard: b.Shard, Started: server.Started()}
 		r, err := membership.Register(membership.ZKOptions{Servers: b.Coord, Root: b.Root, SessionTimeout: b.Session,
-			Topology: membership.Topology{Zones: []string{b.Zone}, Shards: b.Shard + 1}, Log: g.log}, entry)
+			Topology: membership.Topology{Zones: []string{b.Zone}, Shards: b.Shard + 1}, Log: g.log}, entry, guard)
 		if err != nil {
 			return err
 		}
--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -105,6 +105,7 @@
 	req.RequestID = taskID + "." + strconv.Itoa(a.Number)
 	req.Host, req.Volume, req.Units = c.sender.Config.Host.Number, uint64(c.Task.Volume.ID), c.Task.Units
 	req.Deadline, req.Expect = a.Deadline, string(a.Member.ID)
+	req.Outdated = a.Outdated
 	if c.Task.Class == config.ClassWrite {
 		req.Key = taskID
 	}
--- a/internal/brick/message.go
+++ b/internal/brick/message.go
@@ -46,6 +46,8 @@
 	Key       string    // idempotency key
 	Deadline  time.Time // a response after it does not count
 	Expect    string    // name of the addressed brick; empty accepts any
+
+	Outdated func() bool // asked right before the request is sent: it must not go to this brick any more; nil: never
 }
 
 // ListQuery selects one page of a space's names.
@@ -100,6 +102,7 @@
 // Reasons and the module's status that each maps to.
 const (
 	ReasonUnknownBrick Reason = "unknown_brick" // NotSent: the brick is no longer in the node list
+	ReasonOutdated     Reason = "outdated"      // NotSent: the choice of the brick was outdated when the connection was ready
 	ReasonRefused      Reason = "refused"       // Unreachable: no connection could be opened
 	ReasonDialTimeout  Reason = "dial_timeout"  // Unreachable: no connection was opened in time
 	ReasonWrongBrick   Reason = "wrong_brick"   // Unreachable: another brick listens at the address
--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -85,6 +85,9 @@
 		p.conns.Put(c.Conn)
 		return newFailure(arrowwalk.Cancelled, ReasonAborted, nil)
 	}
+	if req.Outdated != nil && req.Outdated() {
+		return p.discard(at, c, newFailure(arrowwalk.NotSent, ReasonOutdated, nil))
+	}
 	if err := c.send(req); err != nil {
 		return p.discard(at, c, err)
 	}
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -39,6 +39,7 @@
 	MaxConns     int           // max connections; 0 means 4096
 	IdleTimeout  time.Duration // idle timeout of a connection, also for reading a body and writing a response; 0 means 2 min
 	MaxBodyBytes int64         // max bytes of a request body; 0 means 64 MiB
+	MayServe     func() bool   // false while another brick may have taken this one's place; nil means always true
 	Hook         Hook          // injects faults; nil injects none
 	Log          *slog.Logger  // nil discards all records
 }
@@ -85,6 +86,9 @@
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
+	if opt.MayServe == nil {
+		opt.MayServe = func() bool { return true }
+	}
 	s := &Server{opt: opt, blobs: blobs, ln: ln, started: time.Now().UnixMicro(),
 		queue: newQueue(admission.Limits{Workers: opt.Workers, MaxQueued: opt.MaxQueue}), conns: map[*conn]struct{}{}}
 	s.identity = fmt.Sprintf("%s@%d", opt.ID, s.started)
@@ -435,7 +439,7 @@
 		return &reply{status: 503, text: "queue is full"}, noRelease
 	}
 	c.server.busy.begin()
-	r = c.dispatch(ex)
+	r = c.dispatchIfServing(ex, kind)
 	if r.status < 300 || r.status == 404 {
 		r.otherHostsUnits = c.server.hostUsage.add(ex.Volume, ex.Host, ex.Units)
 		if c.server.opt.Meter != nil {
@@ -451,6 +455,19 @@
 	}
 }
 
+// dispatchIfServing executes a request unless another brick may have taken this one's
+// place. A write during which that happened is told as failed: what it stored may be lost.
+func (c *conn) dispatchIfServing(ex *Exchange, kind admission.Kind) *reply {
+	if !c.server.opt.MayServe() {
+		return &reply{status: 503, text: "the brick's session is not confirmed"}
+	}
+	r := c.dispatch(ex)
+	if kind == admission.Write && r.status < 300 && !c.server.opt.MayServe() {
+		return &reply{status: 500, text: "the brick's session was not confirmed during the write"}
+	}
+	return r
+}
+
 func (c *conn) dispatch(ex *Exchange) *reply {
 	switch {
 	case ex.List && ex.Method == "GET":
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -240,6 +240,9 @@
 		g.zkSource, err = membership.FollowZK(membership.ZKOptions{Servers: cfg.Discovery.Servers, Root: cfg.Discovery.Root,
 			SessionTimeout: config.MS(cfg.Discovery.SessionMS), RelistInterval: config.MS(cfg.Discovery.RelistMS), Topology: topology, Log: g.opts.Log},
 			func(l *membership.List) { tracker.Offer("discovery", l) }, tracker.ReportFailure)
+		if err == nil {
+			g.readListsAfterStalls(g.zkSource.ReadNow)
+		}
 		return err
 	case cfg.NodesFile == "":
 		tracker.Offer("settings", list)
@@ -250,7 +253,8 @@
 		edit := *l // a changed file counts as newer whatever version it states
 		edit.Version = time.Now().UnixMicro()
 		tracker.Offer("file", &edit)
-	})
+	}, tracker.Confirm)
+	g.readListsAfterStalls(g.fileSource.ReadNow)
 	if err != nil && cfg.CacheDir == "" {
 		return fmt.Errorf("node list %s: %w", cfg.NodesFile, err)
 	}
@@ -260,6 +264,13 @@
 	return nil
 }
 
+// readListsAfterStalls makes the host send nothing after a stall until the source of node
+// lists has been read again.
+func (g *Gateway) readListsAfterStalls(read func()) {
+	g.tracker.SetReader(read)
+	g.host.SetListSource(g.tracker)
+}
+
 // brickProber asks bricks for their identity. It implements membership.Prober.
 type brickProber struct{ pool *brick.Pool }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -52,6 +52,8 @@
 	task    *Task                 // for a Request, Outcome or Abandoned event
 	members []Member              // for a NodeList event
 	inspect func(state *Snapshot) // called by the loop between two steps
+	// listsReadAt is when a source of node lists was read that has handed over all it said.
+	listsReadAt time.Time
 }
 
 // loop is the state that only the holder of Host.loopMu may touch. The holder is
@@ -65,6 +67,10 @@
 	timerAt    arrowwalk.Micros // when Host.timer expires; 0 if it is not set
 	steppedAt  arrowwalk.Micros // time of the latest step
 	shutdownAt time.Time        // all tasks end by then; zero if no shutdown was requested
+
+	listSource  ListSource
+	listVersion int64     // of the last node list
+	suspendedAt time.Time // nothing is sent until the node list is read after this time; zero: not suspended
 }
 
 // capDeadline returns the earlier of t and the shutdown time.
@@ -283,7 +289,7 @@
 	h.loopMu.Lock()
 	defer h.loopMu.Unlock()
 	member, ok := h.loop.members[node]
-	return !ok || member.State != arrowwalk.Ready
+	return !ok || member.State != arrowwalk.Ready || !h.loop.suspendedAt.IsZero()
 }
 
 func (h *Host) runAttempt(t *Task, s signal) AttemptResult {
@@ -348,7 +354,6 @@
 	h.inbox = h.loop.spareInbox[:0]
 	h.mu.Unlock()
 	l := &h.loop
-	l.events = l.events[:0]
 	start, now := time.Now(), h.moduleTime()
 	l.steppedAt = now
 	for _, m := range in {
@@ -356,6 +361,12 @@
 			m.inspect(h.snapshotLocked())
 			continue
 		}
+		if !m.listsReadAt.IsZero() {
+			if event := l.resumeMembers(m.listsReadAt); event != nil {
+				l.events = append(l.events, event)
+			}
+			continue
+		}
 		h.applyEvent(m, now)
 		l.events = append(l.events, m.event)
 	}
@@ -369,6 +380,7 @@
 		}
 	}
 	clear(l.events)
+	l.events = l.events[:0]
 	clear(in)
 	l.spareInbox = in
 }
@@ -411,6 +423,8 @@
 				l.members[member.ID] = member
 			}
 		}
+		l.listVersion = e.Version
+		l.suspendNodes(e)
 	}
 }
 
--- a/internal/host/stall.go
+++ b/internal/host/stall.go
@@ -179,6 +179,7 @@
 	ended := h.stalls.lastStall
 	h.stalls.mu.Unlock()
 	h.awaitLists()
+	h.suspendMembers(ended)
 	h.stepAfterStall(ended)
 }
 
--- a/internal/membership/filesource.go
+++ b/internal/membership/filesource.go
@@ -16,6 +16,8 @@
 	topology  Topology
 	log       *slog.Logger
 	onList    func(*List)
+	onRead    func(readAt time.Time)
+	readNow   chan struct{} // buffered; makes run read the file at once
 	stop      chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
@@ -26,11 +28,11 @@
 const filePollInterval = 100 * time.Millisecond
 
 // FollowFile reads the list in path and passes it to onList, then polls the file
-// and passes on each changed list until Close. onList is never called
-// concurrently. The error is that of the first read; the returned source polls the
+// and passes on each changed list until Close. After a reading that ReadNow asked for
+// it calls onRead. Neither is called concurrently. The error is that of the first read; the returned source polls the
 // file even if the first read failed.
-func FollowFile(path string, topology Topology, log *slog.Logger, onList func(*List)) (*FileSource, error) {
-	s := &FileSource{path: path, topology: topology, log: log, onList: onList, stop: make(chan struct{}), done: make(chan struct{})}
+func FollowFile(path string, topology Topology, log *slog.Logger, onList func(*List), onRead func(readAt time.Time)) (*FileSource, error) {
+	s := &FileSource{path: path, topology: topology, log: log, onList: onList, onRead: onRead, readNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
 	err := s.reload()
 	go s.run()
 	return s, err
@@ -47,17 +49,32 @@
 	ticker := time.NewTicker(filePollInterval)
 	defer ticker.Stop()
 	for {
+		asked := false
 		select {
 		case <-s.stop:
 			return
+		case <-s.readNow:
+			asked = true
 		case <-ticker.C:
 		}
+		readAt := time.Now()
 		if err := s.reload(); err != nil && err.Error() != s.lastError {
 			s.lastError = err.Error()
 			s.log.Warn("node list rejected", "file", s.path, "error", err)
 		} else if err == nil {
 			s.lastError = ""
 		}
+		if asked { // an unreadable file leaves the last list in force
+			s.onRead(readAt)
+		}
+	}
+}
+
+// ReadNow makes the file be read at once. It does not wait.
+func (s *FileSource) ReadNow() {
+	select {
+	case s.readNow <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"time"
 
 	"arrowwalk"
 	"arrowwalk/internal/host"
@@ -29,6 +30,8 @@
 type List struct {
 	Version int64   `json:"version"`
 	Bricks  []Entry `json:"bricks"`
+
+	ReadAt time.Time `json:"-"` // when its source began to be read
 }
 
 // Values of Entry.State.
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -50,7 +50,7 @@
 			t.Fatal(err)
 		}
 	}
-	f, err := FollowFile(path, topology, slog.New(slog.DiscardHandler), func(l *List) { lists <- l })
+	f, err := FollowFile(path, topology, slog.New(slog.DiscardHandler), func(l *List) { lists <- l }, nil)
 	if err == nil {
 		t.Error("no error for a missing file")
 	}
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -18,6 +18,8 @@
 // NodeSink receives node lists and changes to them. The host implements it.
 type NodeSink interface {
 	Nodes(kind arrowwalk.ListKind, version int64, members []host.Member)
+	// ConfirmLists reports that a source was read at a time, after all that it said.
+	ConfirmLists(readAt time.Time)
 }
 
 // Prober asks a brick to identify itself.
@@ -58,6 +60,7 @@
 	hasList    atomic.Bool  // the host has received a list
 	levels     atomic.Value // map[string]string: trust level by brick name
 	lastServed sync.Map     // brick name to the time of its last answer, in microseconds since 1970
+	reading    readRequests
 
 	// The fields below belong to the goroutine in run.
 	gate         *trust.Gate
@@ -116,7 +119,7 @@
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Tracker{opts: opts, log: opts.Log, startedAt: time.Now(), inbox: make(chan any, 256), stop: make(chan struct{}), done: make(chan struct{}), ctx: ctx}
+	t := &Tracker{opts: opts, log: opts.Log, startedAt: time.Now(), reading: newReadRequests(), inbox: make(chan any, 256), stop: make(chan struct{}), done: make(chan struct{}), ctx: ctx}
 	if err := t.openCache(); err != nil {
 		cancel()
 		return nil, err
@@ -177,10 +180,16 @@
 }
 
 // Offer submits a complete list from a source.
-func (t *Tracker) Offer(source string, l *List) { t.send(listOffer{source, l}) }
+func (t *Tracker) Offer(source string, l *List) {
+	t.reading.noteSuccess()
+	t.send(listOffer{source, l})
+}
 
 // ReportFailure reports that a source cannot be read at present.
-func (t *Tracker) ReportFailure(err error) { t.send(sourceFailure{err}) }
+func (t *Tracker) ReportFailure(err error) {
+	t.reading.noteFailure(time.Now())
+	t.send(sourceFailure{err})
+}
 
 // Observe submits what a client's request revealed about a brick. started is the
 // start time that the brick reported, in microseconds since 1970. The call is cheap
@@ -215,9 +224,12 @@
 			return
 		case message := <-t.inbox:
 			t.handle(message)
+		case <-t.reading.requested:
+			t.readAgain()
 		case <-ticker.C:
 			t.startProbes()
 			t.saveIfDue(false)
+			t.giveUpReading()
 		}
 	}
 }
@@ -238,6 +250,8 @@
 		t.handleObservation(m)
 	case refreshRequest:
 		t.handleRefresh(m)
+	case listConfirmation:
+		t.handleConfirmation(m.readAt)
 	case sourceFailure:
 		if text := m.err.Error(); text != t.lastFailure {
 			t.lastFailure = text
@@ -256,6 +270,7 @@
 		return
 	case trust.Unchanged:
 		t.confirmList()
+		t.handleConfirmation(o.list.ReadAt)
 		return
 	}
 	t.log.Info("node list accepted", "source", o.source, "version", o.list.Version, "bricks", len(o.list.Bricks))
@@ -263,6 +278,7 @@
 	t.hasLiveList, t.verifier = true, nil
 	t.verifying.Store(false)
 	t.reportMembers(arrowwalk.ListSnapshot, o.list.Version, o.list.Members(t.opts.Topology))
+	t.handleConfirmation(o.list.ReadAt)
 }
 
 // cacheList replaces the cached list with an accepted one and updates the change
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -37,11 +37,18 @@
 	return Entry{Name: name, Address: name + ":1", Zone: "z1", Shard: shard, Started: 5}
 }
 
+// register announces a brick.
+func register(s *coord.Server, entry Entry) (*Registrar, error) {
+	return Register(zkOptions(s), entry, NewServingGuard(zkOptions(s).SessionTimeout, nil))
+}
+
 // recordingHost keeps the members that a Tracker reported.
 type recordingHost struct {
 	mu       sync.Mutex
 	notified chan string
 	members  map[arrowwalk.NodeID]host.Member
+
+	confirmed time.Time // latest reading that was reported
 }
 
 func newRecordingHost() *recordingHost {
@@ -64,6 +71,13 @@
 	h.notified <- fmt.Sprint(kind, len(members))
 }
 
+func (h *recordingHost) ConfirmLists(readAt time.Time) {
+	h.mu.Lock()
+	h.confirmed = readAt
+	h.mu.Unlock()
+	h.notified <- "confirmed"
+}
+
 func (h *recordingHost) get(name string) (host.Member, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -104,7 +118,7 @@
 		t.Fatal(err)
 	}
 	defer tracker.Close()
-	a, err := Register(zkOptions(s), brickEntry("a", 0))
+	a, err := register(s, brickEntry("a", 0))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +132,7 @@
 		return func() bool { _, ok := h.get(name); return ok == want }
 	}
 	h.waitFor(t, "a", has("a", true))
-	b, err := Register(zkOptions(s), brickEntry("b", 1))
+	b, err := register(s, brickEntry("b", 1))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,7 +145,7 @@
 		t.Errorf("the host was notified of a brick that left after %s, want at most 500ms", elapsed)
 	}
 	s.Play(coord.Script{DropWatches: true})
-	if b, err = Register(zkOptions(s), brickEntry("b", 1)); err != nil {
+	if b, err = register(s, brickEntry("b", 1)); err != nil {
 		t.Fatal(err)
 	}
 	defer b.Close()
@@ -139,7 +153,7 @@
 	s.Play(coord.Script{})
 
 	s.Mark("both")
-	c, err := Register(zkOptions(s), brickEntry("c", 1))
+	c, err := register(s, brickEntry("c", 1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/membership/zookeeper.go
+++ b/internal/membership/zookeeper.go
@@ -50,6 +50,7 @@
 	onList    func(*List)
 	onError   func(error)
 	conn      *zk.Conn
+	readNow   chan struct{} // buffered; makes run read the tree at once
 	stop      chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	z := &ZKSource{opts: opts, onList: onList, onError: onError, conn: conn, stop: make(chan struct{}), done: make(chan struct{}), children: map[string]childState{}}
+	z := &ZKSource{opts: opts, onList: onList, onError: onError, conn: conn, readNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}), children: map[string]childState{}}
 	go z.run()
 	return z, nil
 }
@@ -91,6 +92,14 @@
 	<-z.done
 }
 
+// ReadNow makes the tree be read at once. It does not wait.
+func (z *ZKSource) ReadNow() {
+	select {
+	case z.readNow <- struct{}{}:
+	default:
+	}
+}
+
 // Bounds of the delay after a failed read, which doubles with each failure. The
 // maximum is far below the session timeout.
 const (
@@ -132,6 +141,7 @@
 	select {
 	case <-timer.C:
 	case <-changed:
+	case <-z.readNow:
 	case <-z.stop:
 		return false
 	}
@@ -144,6 +154,7 @@
 // readTree reads the whole tree and sets watches on all of its nodes. The returned
 // channel is closed when one of them fires.
 func (z *ZKSource) readTree() (*List, <-chan struct{}, error) {
+	readAt := time.Now()
 	names, stat, events, err := z.conn.ChildrenW(z.opts.Root)
 	if err != nil {
 		if errors.Is(err, zk.ErrNoNode) {
@@ -159,7 +170,7 @@
 		signal.fire()
 		return nil, nil, err
 	}
-	list := &List{Version: stat.Pzxid}
+	list := &List{Version: stat.Pzxid, ReadAt: readAt}
 	next := make(map[string]childState, len(names))
 	for i, name := range names {
 		if found[i].mzxid == 0 { // removed since the root was read; the watch on the root fires
@@ -252,14 +263,16 @@
 type Registrar struct {
 	opts      ZKOptions
 	entry     Entry
+	guard     *ServingGuard
 	conn      *zk.Conn
 	stop      chan struct{}
-	done      chan struct{}
+	running   sync.WaitGroup
 	closeOnce sync.Once
 }
 
-// Register announces a brick until Close.
-func Register(opts ZKOptions, entry Entry) (*Registrar, error) {
+// Register announces a brick until Close, and confirms its guard while the brick's session
+// is alive.
+func Register(opts ZKOptions, entry Entry, guard *ServingGuard) (*Registrar, error) {
 	opts.defaults()
 	if err := entry.Validate(opts.Topology); err != nil {
 		return nil, fmt.Errorf("register brick: %w", err)
@@ -268,23 +281,30 @@
 	if err != nil {
 		return nil, fmt.Errorf("register brick: %w", err)
 	}
-	r := &Registrar{opts: opts, entry: entry, conn: conn, stop: make(chan struct{}), done: make(chan struct{})}
-	go r.run(events)
+	r := &Registrar{opts: opts, entry: entry, guard: guard, conn: conn, stop: make(chan struct{})}
+	r.running.Go(func() { r.run(events) })
+	r.running.Go(func() { guard.watch(r.stop, opts.SessionTimeout/runsPerSession) })
 	return r, nil
 }
 
 // Close ends the session, which removes the node at once.
 func (r *Registrar) Close() {
 	r.closeOnce.Do(func() { close(r.stop); r.conn.Close() })
-	<-r.done
+	r.running.Wait()
 }
 
-// registrationCheckInterval is the time between checks of the node without events.
-const registrationCheckInterval = time.Second
+// maxCheckInterval is the longest time between checks of the node without events.
+const maxCheckInterval = time.Second
+
+// In the time of a session the node is checked checksPerSession times at least, and the
+// process is seen to run runsPerSession times.
+const (
+	checksPerSession = 4
+	runsPerSession   = 16
+)
 
 func (r *Registrar) run(events <-chan zk.Event) {
-	defer close(r.done)
-	ticker := time.NewTicker(registrationCheckInterval)
+	ticker := time.NewTicker(min(maxCheckInterval, r.opts.SessionTimeout/checksPerSession))
 	defer ticker.Stop()
 	lastError := ""
 	for {
@@ -311,11 +331,21 @@
 }
 
 // ensureRegistered creates or updates the node unless it exists, belongs to this
-// session and holds the current entry.
+// session and holds the current entry, and confirms the guard.
 func (r *Registrar) ensureRegistered() error {
 	if r.conn.State() != zk.StateHasSession {
 		return errors.New("no session with the coordination service")
 	}
+	askedAt := r.guard.beginCheck()
+	if err := r.updateNode(); err != nil {
+		return err
+	}
+	r.guard.confirm(askedAt)
+	return nil
+}
+
+// updateNode creates or updates the node.
+func (r *Registrar) updateNode() error {
 	nodePath := path.Join(r.opts.Root, r.entry.Name)
 	text, err := json.Marshal(r.entry)
 	if err != nil {
