Writes carry the brick's clock: a late one no longer replaces a newer one

Cause: a brick executed whatever lay in its socket, and nothing in an unconditional write tells it from one that was sent just now. A deadline or another machine's clock cannot.

Change: a brick's answers carry a counter of its changes, each PUT and DELETE the value that its host had from that run of the brick before the task's final result; the commit rejects it (425, no effect) if the name was changed or deleted since, and the host sends it again with the answer's value. Older hosts and bricks know neither field.

--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -129,7 +129,7 @@
 	start := time.Now()
 	var headReadAt time.Time
 	var socketDelay time.Duration
-	err := s.Pool.Do(&c.attempt.Attempt, a.Member.Address, &req, &c.Response)
+	err := c.send(a, &req)
 	if err == nil {
 		headReadAt = time.Now()
 		socketDelay = s.Host.SocketDelay(c.Response.Raw, start, s.MaxTimeout())
@@ -143,6 +143,36 @@
 	return r
 }
 
+// maxStaleResends bounds how often a write is sent again because its blob was changed
+// after the clock that it carried.
+const maxStaleResends = 8
+
+// send sends the request. A write that the brick did not execute because its clock was
+// stale is sent again at once with the brick's answer's. The clock is taken while the
+// task has no final result: a write that its client begins after that result changes the
+// blob later than the clock, and is never replaced by this one.
+func (c *Call) send(a *host.Attempt, req *brick.Request) error {
+	pool := c.sender.Pool
+	isOrdered := (req.Method == "PUT" || req.Method == "DELETE") && req.Space != brick.SpaceFences
+	if isOrdered {
+		seen := pool.Clock(string(a.Member.ID))
+		req.Seen = &seen
+	}
+	for range maxStaleResends {
+		if c.Task.Ended() {
+			return &brick.Failure{Status: arrowwalk.NotSent, Reason: brick.ReasonAborted}
+		}
+		err := pool.Do(&c.attempt.Attempt, a.Member.Address, req, &c.Response)
+		if err != nil || c.Response.Status != brick.StatusStale || !isOrdered {
+			return err
+		}
+		seen := c.Response.Clock
+		req.Seen = &seen
+		c.Response.Release(pool, c.Response.Body.Drain(16<<10))
+	}
+	return &brick.Failure{Status: arrowwalk.Overloaded, Reason: brick.ReasonContended}
+}
+
 // readBody reads the response's body and releases the connection.
 func (c *Call) readBody() error {
 	pool := c.sender.Pool
--- a/internal/brick/message.go
+++ b/internal/brick/message.go
@@ -32,6 +32,7 @@
 	Number   uint64 // of a PATCH: sequence number
 	Truncate bool   // of a PATCH: empties the extent
 
+	Seen      *Clock // of a PUT or DELETE: the blob must not have been changed since; nil: it may
 	IfVersion uint64 // if not 0, the blob must have this version
 	IfAbsent  bool   // the blob must not exist
 
@@ -102,6 +103,7 @@
 // Reasons and the module's status that each maps to.
 const (
 	ReasonUnknownBrick Reason = "unknown_brick" // NotSent: the brick is no longer in the node list
+	ReasonContended    Reason = "contended"     // Overloaded: the blob was changed again before each try of the write, which had no effect
 	ReasonOutdated     Reason = "outdated"      // NotSent: the choice of the brick was outdated when the connection was ready
 	ReasonRefused      Reason = "refused"       // Unreachable: no connection could be opened
 	ReasonDialTimeout  Reason = "dial_timeout"  // Unreachable: no connection was opened in time
@@ -144,6 +146,7 @@
 	Size            int64    // of the whole blob, if Status is 206 or 416; Length otherwise
 	Body            *http1.Body
 	Raw             syscall.RawConn // of the connection; nil if it has none
+	Clock           Clock           // of the brick; zero if not sent
 	RequestID       string          // of the request it responds to, as the brick sent it; empty if not sent
 
 	conn     *conn
@@ -193,6 +196,9 @@
 	if r.Range != "" {
 		b = http1.AppendField(b, "Range", r.Range)
 	}
+	if r.Seen != nil {
+		b = http1.AppendField(b, HeaderSeen, r.Seen.String())
+	}
 	if r.IfVersion != 0 {
 		b = fmt.Appendf(b, "If-Match: \"%d\"\r\n", r.IfVersion)
 	}
@@ -296,6 +302,8 @@
 		r.Sums, err = parseSums(value)
 	case strings.EqualFold(name, HeaderReason):
 		r.Corrupt = value == Corrupt
+	case strings.EqualFold(name, HeaderClock):
+		r.Clock, err = ParseClock(value)
 	case strings.EqualFold(name, HeaderOthers):
 		r.OtherHostsUnits, err = parseUnits(value)
 	case strings.EqualFold(name, HeaderFleet):
--- a/internal/brick/pool.go
+++ b/internal/brick/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"arrowwalk"
@@ -24,8 +25,9 @@
 // Pool keeps connections to bricks for reuse. It is safe for concurrent use and
 // never retries: each Do is one attempt.
 type Pool struct {
-	opt   PoolOptions
-	conns *connpool.Pool
+	opt    PoolOptions
+	conns  *connpool.Pool
+	clocks clocks
 }
 
 // NewPool returns an empty pool. The caller must Close it.
@@ -104,6 +106,9 @@
 	if resp.RequestID != "" && resp.RequestID != req.RequestID { // a second response to an earlier request
 		return p.discard(at, c, &http1.Error{Status: 502, Reason: "response is to request " + resp.RequestID})
 	}
+	if name, _, ok := strings.Cut(resp.Brick, "@"); ok && resp.Clock.Run != 0 {
+		p.clocks.note(name, resp.Clock)
+	}
 	c.body.Reset(c.Reader, c.resp.Framing)
 	if req.Method == "HEAD" {
 		c.body.Reset(c.Reader, http1.Framing{})
--- a/internal/brick/protocol.go
+++ b/internal/brick/protocol.go
@@ -35,6 +35,8 @@
 	HeaderTrash    = "Aw-Trash"    // of a PUT or DELETE: suffix under which the metadata of removed whole blobs is kept in SpaceTrash
 	HeaderSums     = "Aw-Sums"     // base64url of the CRC-32C of each 64 KiB of the body, 4 bytes each
 	HeaderReason   = "Aw-Reason"   // why a request failed: Corrupt
+	HeaderClock    = "Aw-Clock"    // of an answer: the brick's Clock
+	HeaderSeen     = "Aw-Seen"     // of a PUT or DELETE: the Clock that the host had from the brick; the blob must not have been changed since
 	HeaderLoad     = "endpoint-load-metrics"
 )
 
--- a/internal/brickd/reply.go
+++ b/internal/brickd/reply.go
@@ -94,6 +94,7 @@
 	if c.server.draining.Load() {
 		b = http1.AppendField(b, brick.HeaderState, "draining")
 	}
+	b = c.server.appendClock(b)
 	if r.version != 0 {
 		b = http1.AppendIntField(b, brick.HeaderVersion, int64(r.version))
 	}
--- a/internal/brickd/server.go
+++ b/internal/brickd/server.go
@@ -497,7 +497,8 @@
 	return c.deleteBlob(ex)
 }
 
-// parseCondition parses the request's If-Match and If-None-Match fields.
+// parseCondition parses the request's If-Match, If-None-Match and HeaderSeen fields. A clock
+// of another run is store.ErrChangedSince.
 func (c *conn) parseCondition() (store.Condition, error) {
 	var cond store.Condition
 	if v, ok := c.req.Fields.Lookup("If-Match"); ok {
@@ -513,7 +514,15 @@
 		}
 		cond.Absent = true
 	}
-	return cond, nil
+	return cond, c.parseSeen(&cond)
+}
+
+// conditionStatus returns the status for an error of parseCondition.
+func conditionStatus(err error) int {
+	if errors.Is(err, store.ErrChangedSince) {
+		return brick.StatusStale
+	}
+	return 400
 }
 
 // maxTrashSuffixBytes bounds HeaderTrash.
@@ -540,6 +549,8 @@
 // statusOf returns the HTTP status for an error of the store.
 func statusOf(err error) int {
 	switch {
+	case errors.Is(err, store.ErrChangedSince):
+		return brick.StatusStale
 	case errors.Is(err, store.ErrNotConsumable):
 		return brick.StatusNotConsumable
 	case errors.Is(err, store.ErrNotFound):
@@ -567,7 +578,7 @@
 	}
 	cond, err := c.parseCondition()
 	if err != nil {
-		return &reply{status: 400, text: err.Error()}
+		return &reply{status: conditionStatus(err), text: err.Error()}
 	}
 	effects, err := c.parseEffects()
 	if err != nil {
@@ -598,7 +609,7 @@
 func (c *conn) deleteBlob(ex *Exchange) *reply {
 	cond, err := c.parseCondition()
 	if err != nil {
-		return &reply{status: 400, text: err.Error()}
+		return &reply{status: conditionStatus(err), text: err.Error()}
 	}
 	effects, err := c.parseEffects()
 	if err != nil {
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -85,6 +85,9 @@
 // request any more.
 func (t *Task) HandedOver() bool { return t.handedOver.Load() }
 
+// Ended reports whether the task has its final result, or its client is gone.
+func (t *Task) Ended() bool { return t.ended.Load() }
+
 // EndedAfterStall reports whether the task was refused or failed in the first
 // step after a stall of the process. If so, the frontend calls ResponseSent.
 func (t *Task) EndedAfterStall() bool { return t.endedAfterStall.Load() }
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -70,6 +70,8 @@
 		return "Range Not Satisfiable"
 	case 417:
 		return "Expectation Failed"
+	case 425:
+		return "Too Early"
 	case 431:
 		return "Request Header Fields Too Large"
 	case 500:
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -274,6 +274,9 @@
 // does not hold.
 func (g *groupBuilder) add(op *operation) error {
 	current, exists := g.current(blobKey{op.space, op.rec.Name})
+	if err := g.checkSince(op, current, exists); err != nil {
+		return err
+	}
 	if err := op.check(current, exists); err != nil {
 		return err
 	}
@@ -318,6 +321,9 @@
 	if op.movedFrom == nil && op.rec.BodyFile != 0 {
 		g.bodyDirs[bodyDir(op.rec.BodyFile)] = true
 	}
+	if op.rec.Kind == record.KindDelete && op.movedFrom == nil {
+		g.store.deletions.note(op.space, op.rec.Name, op.rec.Version)
+	}
 	op.previous, op.replaces, op.replacedFile = current, exists, g.store.bodyFileOf(current, g.changed[key])
 	op.loc = location{tail.segment.number, tail.end + int64(len(tail.buf))}
 	tail.buf = op.rec.Append(tail.buf)
@@ -422,6 +428,7 @@
 	size := int64(len(tail.buf))
 	s.mu.Lock()
 	tail.visibleVersion = tail.lastVersion
+	s.version.Store(tail.visibleVersion)
 	tail.lastGroup++ // changed together with the index, so that a checkpoint sees both at one moment
 	tail.end += size
 	tail.bytesSinceCheckpoint += size
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -75,7 +75,10 @@
 	if err := r.replayLog(); err != nil {
 		return err
 	}
+	s.tail.lastVersion = max(s.tail.lastVersion, 1) // 0 is no version that a writer can have seen
 	s.tail.visibleVersion = s.tail.lastVersion
+	s.deletions.opened = s.tail.lastVersion
+	s.version.Store(s.tail.lastVersion)
 	s.countLiveBytes()
 	return r.removeUnreferencedBodies()
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -92,6 +92,9 @@
 	quarantine        map[blockKey]bool // blocks that are known to be corrupt
 	recoveryDamage    []Damage          // damage found while opening the store
 
+	version   atomic.Uint64 // of the last visible change
+	deletions deletions     // owned by the committer
+
 	lastCheckpoint checkpointHeader // guarded by checkpointMu
 	emptySegments  map[uint32]bool  // segments without live records as of the last checkpoint
 
@@ -241,11 +244,15 @@
 type Condition struct {
 	Version uint64 // required version of the blob; 0: any
 	Absent  bool   // the blob must not exist
+	Since   uint64 // the blob must not have been changed after this version of the store; 0: any
 }
 
-// check returns ErrVersionMismatch if the condition does not hold for the current
-// entry.
+// check returns ErrVersionMismatch or ErrChangedSince if the condition does not hold for
+// the current entry. The committer checks deletions, too.
 func (c Condition) check(current entry, exists bool) error {
+	if c.Since != 0 && exists && current.version > c.Since {
+		return ErrChangedSince
+	}
 	if c.Absent && exists || c.Version != 0 && (!exists || current.version != c.Version) {
 		return ErrVersionMismatch
 	}
@@ -403,7 +410,7 @@
 	if err := cond.check(current, exists); err != nil {
 		return Info{}, err
 	}
-	if !exists {
+	if !exists && cond.Since == 0 {
 		return Info{}, ErrNotFound
 	}
 	op := &operation{space: space, cond: cond, effects: effects, rec: record.Record{Kind: record.KindDelete, Space: space, Name: name}}
