The size of pieces stands with the parts: uploads across a new piece_bytes read right

Cause: the manifest took the size in force at the complete, and no record told the one by which the parts had been cut.

Change: a part's record tells it; for a part of an older version the first piece is asked. A manifest tells that its sizes are right, and one of an upload that does not is corrected when it is read or copied. A piece of another size than implied is a failed read.

--- a/internal/front/s3/get.go
+++ b/internal/front/s3/get.go
@@ -406,6 +406,9 @@
 // then an error response is still possible.
 func (g *objectRead) streamPieces() error {
 	x := g.exchange
+	if err := x.correctPieceSizes(g.record, g.manifest, g.span); err != nil {
+		return err
+	}
 	pieces := g.manifest.pieces(g.span)
 	if len(pieces) == 0 { // empty object
 		g.buildHead()
@@ -439,7 +442,7 @@
 			g.discard(response)
 			return nil
 		}
-		if response.Length != p.length {
+		if response.Length != p.length || response.Size != p.size {
 			return &brick.Failure{Status: arrowwalk.Failed, Reason: brick.ReasonBadAnswer, Err: errors.New("piece has an unexpected size")}
 		}
 		return g.streamBody(call, response, p.length)
--- a/internal/front/s3/multipart.go
+++ b/internal/front/s3/multipart.go
@@ -43,7 +43,8 @@
 	ETag       string            `json:"e"`
 	Size       int64             `json:"s"`
 	UploadedMS int64             `json:"t"`
-	Base       string            `json:"b"` // base name of the pieces
+	Base       string            `json:"b"`           // base name of the pieces
+	PieceSize  int64             `json:"p,omitempty"` // size of all pieces but the last; 0: not recorded, by an older version
 	Checksums  map[string]string `json:"k,omitempty"`
 }
 
@@ -142,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	part := partRecord{Number: number, Base: id + "/" + newUniqueID()}
+	part := partRecord{Number: number, Base: id + "/" + newUniqueID(), PieceSize: x.server.cfg.PieceBytes}
 	if err := x.storePartBody(body, part.Base); err != nil {
 		return err
 	}
@@ -382,9 +383,14 @@
 		}
 		etagHash.Write(partMD5)
 		record.Size += p.Size
-		if p.Size > 0 {
-			runs = append(runs, pieceRun{p.Base, p.Size, x.server.cfg.PieceBytes})
+		if p.Size == 0 {
+			continue
+		}
+		pieceSize, err := x.partPieceSize(&p)
+		if err != nil {
+			return nil, err
 		}
+		runs = append(runs, pieceRun{p.Base, p.Size, pieceSize})
 	}
 	record.ETag = hex.EncodeToString(etagHash.Sum(nil)) + "-" + strconv.Itoa(len(parts))
 	request, err := x.parseWriteConditions()
@@ -395,6 +401,16 @@
 	return &record, x.storeRecord(request, &record, id, owner, runs, nil)
 }
 
+// partPieceSize returns the size of the pieces of a part that is not empty. The setting
+// may have changed since the part was stored, so that a record of an older version, which
+// does not tell, is not enough: the first piece does.
+func (x *exchange) partPieceSize(part *partRecord) (int64, error) {
+	if part.PieceSize > 0 {
+		return part.PieceSize, nil
+	}
+	return x.storedPieceSize(part.Base)
+}
+
 // respondAlreadyCompleted responds to a complete of an upload that no longer
 // exists. If the object was created by this upload, the response is the same
 // as that of the first complete.
--- a/internal/front/s3/pieces.go
+++ b/internal/front/s3/pieces.go
@@ -92,3 +92,45 @@
 func (p *pieceSet) owner() pieceOwner {
 	return pieceOwner{brick.SpaceIntents, intentName(p.exchange.object(), p.id)}
 }
+
+// storedPieceSize returns the size of the first piece of a run that is not empty. All
+// pieces but the last have it.
+func (x *exchange) storedPieceSize(base string) (int64, error) {
+	name := placement.Piece(base, 0)
+	response, _, ok, err := x.readBlob(brick.SpacePieces, name, x.shardOf(name), false)
+	if err != nil {
+		return 0, err
+	}
+	if !ok || response.Size == 0 {
+		x.server.log.Error("piece missing", "request", x.requestID, "piece", name)
+		return 0, errInternal
+	}
+	return response.Size, nil
+}
+
+// correctPieceSizes corrects the sizes of pieces in a manifest that an older version wrote
+// at the end of a multipart upload, for the runs that a byte range of the object covers.
+// Read by a wrong size, a range would bring bytes of another place.
+func (x *exchange) correctPieceSizes(r *record, m *manifest, wanted byteRange) error {
+	if m.SizesKnown || r.UploadID == "" {
+		return nil
+	}
+	start := int64(0)
+	for i := range m.Runs {
+		run := &m.Runs[i]
+		end := start + run.Size
+		if start < wanted.from+wanted.length && end > wanted.from {
+			size, err := x.storedPieceSize(run.Base)
+			if err != nil {
+				return err
+			}
+			if min(size, run.Size) != min(run.PieceSize, run.Size) {
+				x.server.log.Warn("manifest has a wrong size of pieces, the stored one is used", "request", x.requestID, "bucket", x.bucket,
+					"pieces", run.Base, "manifest", run.PieceSize, "stored", size)
+			}
+			run.PieceSize = size
+		}
+		start = end
+	}
+	return nil
+}
--- a/internal/front/s3/put.go
+++ b/internal/front/s3/put.go
@@ -176,7 +176,7 @@
 	request.Space, request.Name, request.Trash = brick.SpaceObjects, x.object(), id
 	if runs != nil {
 		rec.PiecePrefix = id
-		manifestJSON, err := json.Marshal(manifest{runs})
+		manifestJSON, err := json.Marshal(manifest{Runs: runs, SizesKnown: true})
 		if err != nil {
 			return err
 		}
@@ -395,7 +395,7 @@
 	set := x.newPieceSet()
 	var runs []pieceRun
 	if response.Whole {
-		runs, err = x.copyPieces(body, set, sourceRecord.Size)
+		runs, err = x.copyPieces(body, set, sourceRecord)
 	} else {
 		request.Body = brick.Bytes(body)
 	}
@@ -410,14 +410,17 @@
 }
 
 // copyPieces copies the pieces of a manifest to a new set and returns its runs.
-func (x *exchange) copyPieces(manifestJSON []byte, set *pieceSet, size int64) ([]pieceRun, error) {
+func (x *exchange) copyPieces(manifestJSON []byte, set *pieceSet, source *record) ([]pieceRun, error) {
 	m, err := decodeManifest(manifestJSON)
 	if err != nil {
 		return nil, err
 	}
-	if !m.isValid(size) {
+	if !m.isValid(source.Size) {
 		return nil, errors.New("the manifest of the copy source contradicts its size")
 	}
+	if err := x.correctPieceSizes(source, m, byteRange{0, source.Size}); err != nil {
+		return nil, err
+	}
 	runs := make([]pieceRun, len(m.Runs))
 	for i, r := range m.Runs {
 		runs[i] = pieceRun{Base: set.id + "/" + strconv.Itoa(i), Size: r.Size, PieceSize: r.PieceSize}
--- a/internal/front/s3/record.go
+++ b/internal/front/s3/record.go
@@ -26,6 +26,9 @@
 // manifest is the body of the blob of an object that is stored in pieces.
 type manifest struct {
 	Runs []pieceRun `json:"runs"`
+	// SizesKnown tells that each PieceSize is that with which the pieces were stored.
+	// Older versions wrote the one in force when an upload was completed.
+	SizesKnown bool `json:"k,omitempty"`
 }
 
 // pieceRun is a sequence of pieces that have PieceSize bytes each, except for
