A list with other bricks under the same version is taken, not confirmed as unchanged

A tree read while three of its nodes change can have the version and the number of bricks of the list before, and was then taken for it: the change waited for the next reading.

Cause: Gate.Decide compared version and number alone.

Change: it compares a digest of what the list says, too.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -12,6 +12,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"arrowwalk"
 	"arrowwalk/internal/host"
 )
@@ -34,6 +36,16 @@
 	ReadAt time.Time `json:"-"` // when its source began to be read
 }
 
+// digest returns a digest of the bricks, whatever their order.
+func (l *List) digest() uint64 {
+	sum := uint64(0)
+	for i := range l.Bricks {
+		e := &l.Bricks[i]
+		sum += xxhash.Sum64String(fmt.Sprintf("%q %q %q %d %q %d", e.Name, e.Address, e.Zone, e.Shard, e.State, e.Started))
+	}
+	return sum
+}
+
 // Values of Entry.State.
 const (
 	Ready    = "ready"
--- a/internal/membership/trust/gate.go
+++ b/internal/membership/trust/gate.go
@@ -8,6 +8,7 @@
 	Version    int64 // increases within one source
 	BrickCount int
 	At         time.Duration // time since a fixed moment
+	Digest     uint64        // of what the list says of its bricks
 }
 
 // Decision is the result of Gate.Decide.
@@ -48,6 +49,7 @@
 	source     string
 	version    int64
 	brickCount int
+	digest     uint64
 	hasList    bool // a list was accepted
 
 	rollbackSince, emptySince time.Duration
@@ -77,7 +79,7 @@
 	}
 	if g.hasList && o.Source == g.source {
 		switch {
-		case o.Version == g.version && o.BrickCount == g.brickCount:
+		case o.Version == g.version && o.BrickCount == g.brickCount && o.Digest == g.digest:
 			g.rollbackSeen = 0
 			return Unchanged, ""
 		case o.Version < g.version:
@@ -90,7 +92,7 @@
 			}
 		}
 	}
-	g.source, g.version, g.brickCount, g.hasList = o.Source, o.Version, o.BrickCount, true
+	g.source, g.version, g.brickCount, g.digest, g.hasList = o.Source, o.Version, o.BrickCount, o.Digest, true
 	g.rollbackSeen, g.emptySeen = 0, 0
 	return Accept, ""
 }
