A brick that was replaced while it stood still stays away and serves nothing

A brick that came back after its session was lost removed the node of another process of its name, or registered beside its successor and served hosts that still had the old list.

Cause: the registrar took every node of another session for its own earlier one.

Change: a brick that had its node once, and finds its name with another process or its shard with a brick that started later, does not register; it answers 503 and logs it. A process that was never registered takes over its predecessor's node, as before.

--- a/internal/membership/servingguard.go
+++ b/internal/membership/servingguard.go
@@ -17,6 +17,7 @@
 	mu        sync.Mutex
 	lease     *lease.Lease
 	suspended bool
+	replaced  bool // for good
 }
 
 // NewServingGuard returns a guard for a brick whose session has a timeout; 0 means 5 s. A
@@ -38,11 +39,18 @@
 func (g *ServingGuard) MayServe() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	mayServe := g.lease.Run(g.now())
+	mayServe := g.lease.Run(g.now()) && !g.replaced
 	g.note(!mayServe)
 	return mayServe
 }
 
+// replace records that another brick has taken this one's place.
+func (g *ServingGuard) replace() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replaced, g.suspended = true, true
+}
+
 // beginCheck returns the time for confirm, before the session is looked at.
 func (g *ServingGuard) beginCheck() time.Duration {
 	g.MayServe() // notices now whether the process stood still
--- a/internal/membership/zookeeper.go
+++ b/internal/membership/zookeeper.go
@@ -259,7 +259,8 @@
 }
 
 // Registrar maintains the ephemeral node that announces a brick. It creates the
-// node when a session begins, and again after a session was lost.
+// node when a session begins, and again after a session was lost, unless another brick has
+// taken this one's place meanwhile.
 type Registrar struct {
 	opts      ZKOptions
 	entry     Entry
@@ -268,6 +269,8 @@
 	stop      chan struct{}
 	running   sync.WaitGroup
 	closeOnce sync.Once
+
+	registered bool // the node was this brick's once; owned by run
 }
 
 // Register announces a brick until Close, and confirms its guard while the brick's session
@@ -320,7 +323,14 @@
 			}
 		case <-ticker.C:
 		}
-		if err := r.ensureRegistered(); err != nil && err.Error() != lastError {
+		err := r.ensureRegistered()
+		if errors.Is(err, errReplaced) {
+			r.guard.replace()
+			r.opts.Log.Error("brick was replaced and serves nothing any more: end this process", "brick", r.entry.Name, "error", err)
+			r.conn.Close() // hosts must not wait for a node of this session
+			return
+		}
+		if err != nil && err.Error() != lastError {
 			lastError = err.Error()
 			r.opts.Log.Warn("brick not registered", "brick", r.entry.Name, "error", err)
 		} else if err == nil && lastError != "" {
@@ -340,10 +350,14 @@
 	if err := r.updateNode(); err != nil {
 		return err
 	}
+	r.registered = true
 	r.guard.confirm(askedAt)
 	return nil
 }
 
+// errReplaced is the error of a brick whose place another one has taken.
+var errReplaced = errors.New("another brick has taken its place")
+
 // updateNode creates or updates the node.
 func (r *Registrar) updateNode() error {
 	nodePath := path.Join(r.opts.Root, r.entry.Name)
@@ -359,13 +373,20 @@
 		}
 		_, err = r.conn.Set(nodePath, text, stat.Version)
 		return err
-	case err == nil: // belongs to an earlier session that has not expired yet
+	case err == nil && r.registered && string(data) != string(text):
+		return fmt.Errorf("%w: node %s is another process's", errReplaced, nodePath)
+	case err == nil: // belongs to an earlier session that has not expired yet, or to a predecessor
 		if err := r.conn.Delete(nodePath, stat.Version); err != nil && !errors.Is(err, zk.ErrNoNode) {
 			return err
 		}
 	case !errors.Is(err, zk.ErrNoNode):
 		return err
 	}
+	if r.registered {
+		if err := r.checkSuccessor(); err != nil {
+			return err
+		}
+	}
 	if err := createParents(r.conn, r.opts.Root); err != nil {
 		return err
 	}
@@ -373,6 +394,32 @@
 	return err
 }
 
+// checkSuccessor returns errReplaced if a brick that started later is registered for the
+// shard. Hosts send to the one that started last.
+func (r *Registrar) checkSuccessor() error {
+	names, _, err := r.conn.Children(r.opts.Root)
+	if errors.Is(err, zk.ErrNoNode) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		data, _, err := r.conn.Get(path.Join(r.opts.Root, name))
+		if errors.Is(err, zk.ErrNoNode) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		var other Entry
+		if json.Unmarshal(data, &other) == nil && other.Shard == r.entry.Shard && other.Started > r.entry.Started {
+			return fmt.Errorf("%w: %s started later and has shard %d", errReplaced, name, other.Shard)
+		}
+	}
+	return nil
+}
+
 // createParents creates the nodes on the path to root that do not exist.
 func createParents(conn *zk.Conn, root string) error {
 	nodePath := ""
