The loss of a site's only brick is believed at once

Cause: the guard against a wiped or half-built tree withheld every empty list.

Change: an empty list is taken if the one brick of the list before has left the same tree, by the transaction that created its root, at a later version.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -34,6 +34,7 @@
 	Bricks  []Entry `json:"bricks"`
 
 	ReadAt time.Time `json:"-"` // when its source began to be read
+	Tree   int64     `json:"-"` // transaction that created the root of the tree that was read; 0: no tree
 }
 
 // digest returns a digest of the bricks, whatever their order.
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -263,7 +263,7 @@
 // handleOffer decides whether to accept a list from a source.
 func (t *Tracker) handleOffer(o listOffer) {
 	t.lastFailure = ""
-	decision, reason := t.gate.Decide(trust.Offer{Source: o.source, Version: o.list.Version, BrickCount: len(o.list.Bricks), At: t.elapsed(), Digest: o.list.digest()})
+	decision, reason := t.gate.Decide(trust.Offer{Source: o.source, Version: o.list.Version, BrickCount: len(o.list.Bricks), At: t.elapsed(), Digest: o.list.digest(), Tree: o.list.Tree})
 	switch decision {
 	case trust.Hold:
 		t.log.Warn("node list withheld", "source", o.source, "version", o.list.Version, "bricks", len(o.list.Bricks), "reason", reason)
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -244,3 +244,26 @@
 		t.Errorf("second tracker with the same cache: %v", err)
 	}
 }
+
+// Guards against a host that goes on sending to the only brick of a site after its node has
+// vanished, because an empty list is withheld.
+func TestLossOfTheOnlyBrickIsReported(t *testing.T) {
+	s, h := startCoordServer(t), newRecordingHost()
+	tracker, err := StartTracker(TrackerOptions{Topology: topology, Host: h})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tracker.Close()
+	a, err := register(s, brickEntry("a", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	z, err := FollowZK(zkOptions(s), func(l *List) { tracker.Offer("zk", l) }, tracker.ReportFailure)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer z.Close()
+	h.waitFor(t, "the brick", func() bool { _, ok := h.get("a"); return ok })
+	a.Close()
+	h.waitFor(t, "its loss", func() bool { _, ok := h.get("a"); return !ok })
+}
--- a/internal/membership/trust/gate.go
+++ b/internal/membership/trust/gate.go
@@ -9,6 +9,7 @@
 	BrickCount int
 	At         time.Duration // time since a fixed moment
 	Digest     uint64        // of what the list says of its bricks
+	Tree       int64         // identity of the tree that was read, which another one in its place does not have; 0: unknown
 }
 
 // Decision is the result of Gate.Decide.
@@ -35,7 +36,8 @@
 //  3. An empty list while bricks are known comes from a wiped or half-built tree. It
 //     is withheld until empty lists, and no others, have been offered EmptyRepeats
 //     times over at least EmptyHold, because a site does not lose all its bricks at
-//     once.
+//     once. The loss of a site's last brick, in the tree in which it was listed, is
+//     accepted at once like that of any other.
 //
 // A list that lacks some of the bricks is accepted at once, because no requests may
 // be sent to a brick that has left for longer than the grace period.
@@ -50,6 +52,7 @@
 	version    int64
 	brickCount int
 	digest     uint64
+	tree       int64
 	hasList    bool // a list was accepted
 
 	rollbackSince, emptySince time.Duration
@@ -66,7 +69,7 @@
 // Decide returns the decision on an offered list. For Hold, reason is "empty" or
 // "older".
 func (g *Gate) Decide(o Offer) (decision Decision, reason string) {
-	if o.BrickCount == 0 && g.brickCount > 0 {
+	if o.BrickCount == 0 && g.brickCount > 0 && !g.lostLastBrick(o) {
 		if g.emptySeen == 0 {
 			g.emptySince = o.At
 		}
@@ -92,7 +95,13 @@
 			}
 		}
 	}
-	g.source, g.version, g.brickCount, g.digest, g.hasList = o.Source, o.Version, o.BrickCount, o.Digest, true
+	g.source, g.version, g.brickCount, g.digest, g.tree, g.hasList = o.Source, o.Version, o.BrickCount, o.Digest, o.Tree, true
 	g.rollbackSeen, g.emptySeen = 0, 0
 	return Accept, ""
 }
+
+// lostLastBrick reports whether an empty list says that the only brick has left: the tree
+// is the one in which the brick was listed, and was changed since.
+func (g *Gate) lostLastBrick(o Offer) bool {
+	return g.hasList && g.brickCount == 1 && o.Source == g.source && o.Tree != 0 && o.Tree == g.tree && o.Version > g.version
+}
--- a/internal/membership/zookeeper.go
+++ b/internal/membership/zookeeper.go
@@ -170,7 +170,7 @@
 		signal.fire()
 		return nil, nil, err
 	}
-	list := &List{Version: stat.Pzxid, ReadAt: readAt}
+	list := &List{Version: stat.Pzxid, ReadAt: readAt, Tree: stat.Czxid}
 	next := make(map[string]childState, len(names))
 	for i, name := range names {
 		if found[i].mzxid == 0 { // removed since the root was read; the watch on the root fires
