A repeat is not sent after its window, however late its connection came up

Cause: the module looks at the window when it decides, and nothing looks again before the write, which may come a connect timeout later.

Change: an attempt after one that may have run carries the end of the window, counted as the module does, and is judged right before its first byte.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -237,6 +237,7 @@
 // runAttempts executes the module's decisions on t until t has ended.
 func (h *Host) runAttempts(t *Task) TaskResult {
 	attempts := 0
+	repeatBy := arrowwalk.Micros(0)
 	for s := range t.signals {
 		switch s.kind {
 		case signalRefuse:
@@ -249,7 +250,10 @@
 		attempts++
 		h.heartbeat(t)
 		start := time.Now()
-		r := h.runAttempt(t, s)
+		r := h.runAttempt(t, s, repeatBy)
+		if repeatBy == 0 && !r.Status.NeverRan() {
+			repeatBy = h.endOfRepeats(t, s.chosenAt)
+		}
 		if r.Final {
 			t.ended.Store(true)
 		}
@@ -292,11 +296,21 @@
 	return !ok || member.State != arrowwalk.Ready || !h.loop.suspendedAt.IsZero()
 }
 
-func (h *Host) runAttempt(t *Task, s signal) AttemptResult {
+// endOfRepeats returns when repeats of a request that was sent at a time and may have run
+// are not recognized any more, or 0 if its class has no such limit.
+func (h *Host) endOfRepeats(t *Task, sentAt arrowwalk.Micros) arrowwalk.Micros {
+	classes := h.opt.Settings.Classes
+	if t.Class < 0 || t.Class >= len(classes) || classes[t.Class].Repeat != arrowwalk.Keyed {
+		return 0
+	}
+	return sentAt + classes[t.Class].Window
+}
+
+func (h *Host) runAttempt(t *Task, s signal, repeatBy arrowwalk.Micros) AttemptResult {
 	if t.ended.Load() || !time.Now().Before(s.deadline) || h.isOutdated(s.member.ID, s.chosenAt) { // the task ended before the attempt began, or ends now
 		return AttemptResult{Status: arrowwalk.NotSent}
 	}
-	return t.Runner.Try(&Attempt{Request: t.request.ID, Number: s.number, Member: s.member, Deadline: s.deadline, host: h, chosenAt: s.chosenAt})
+	return t.Runner.Try(&Attempt{Request: t.request.ID, Number: s.number, Member: s.member, Deadline: s.deadline, host: h, chosenAt: s.chosenAt, repeatBy: repeatBy})
 }
 
 // BeginStream reports that the response to t has begun in the given attempt:
--- a/internal/host/task.go
+++ b/internal/host/task.go
@@ -23,12 +23,22 @@
 
 	host     *Host
 	chosenAt arrowwalk.Micros // when the module chose the member
+	repeatBy arrowwalk.Micros // repeats of the request are not recognized from then on; 0: no limit
 }
 
-// Outdated reports whether the process was stalled since the module chose the member, and
-// the member takes no requests any more. A Runner asks right before it sends. Unless there
-// was a stall, it costs reading the clock and two atomic loads.
-func (a *Attempt) Outdated() bool { return a.host != nil && a.host.isOutdated(a.Member.ID, a.chosenAt) }
+// Outdated reports whether the attempt must not be sent any more: the process was stalled
+// since the module chose the member, and the member takes no requests; or repeats of a
+// request that may have run are not recognized any more. A Runner asks right before it
+// sends. Unless there was a stall, it costs reading the clock and two atomic loads.
+func (a *Attempt) Outdated() bool {
+	if a.host == nil {
+		return false
+	}
+	if a.repeatBy != 0 && a.host.moduleTime() >= a.repeatBy {
+		return true
+	}
+	return a.host.isOutdated(a.Member.ID, a.chosenAt)
+}
 
 // AttemptResult is the result of an attempt.
 type AttemptResult struct {
