--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -148,9 +148,9 @@
 const maxStaleResends = 8
 
 // send sends the request. A write that the brick did not execute because its clock was
-// stale is sent again at once with the brick's answer's. The clock is taken while the
-// task has no final result: a write that its client begins after that result changes the
-// blob later than the clock, and is never replaced by this one.
+// stale is sent again at once, with the clock of the brick's answer. A clock is taken only
+// while the task has no final result. A write that a client begins after that result
+// changes the blob after the clock, so this one cannot replace it.
 func (c *Call) send(a *host.Attempt, req *brick.Request) error {
 	pool := c.sender.Pool
 	isOrdered := (req.Method == "PUT" || req.Method == "DELETE") && req.Space != brick.SpaceFences
--- a/internal/membership/filesource.go
+++ b/internal/membership/filesource.go
@@ -29,8 +29,8 @@
 
 // FollowFile reads the list in path and passes it to onList, then polls the file
 // and passes on each changed list until Close. After a reading that ReadNow asked for
-// it calls onRead. Neither is called concurrently. The error is that of the first read; the returned source polls the
-// file even if the first read failed.
+// it calls onRead. Neither is called concurrently. The error is that of the first read;
+// the returned source polls the file even if the first read failed.
 func FollowFile(path string, topology Topology, log *slog.Logger, onList func(*List), onRead func(readAt time.Time)) (*FileSource, error) {
 	s := &FileSource{path: path, topology: topology, log: log, onList: onList, onRead: onRead, readNow: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
 	err := s.reload()
